--- /dev/null
+++ b/flamingotiller/client.py
@@ -0,0 +1,252 @@
+"""HTTP client: kept connections by peer, and whole JSON exchanges between the system's own
+processes. An exchange that ends in any doubt closes its connection."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import typing
+
+import h11
+import orjson
+
+from flamingotiller import clock, errors, wire
+
+CONNECT_TIMEOUT = clock.seconds(1)
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_IDLE_PER_PEER = 32
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: Pairs of lower-case name and value.
+        body: The body.
+    """
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    def json(self) -> typing.Any:
+        """Returns the body decoded as JSON.
+
+        Raises:
+            errors.ProtocolError: The body is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise errors.ProtocolError(f"answer is not JSON: {error}", step="decode") from error
+
+
+class ConnectionPool:
+    """Connections to peers, kept open while idle."""
+
+    def __init__(self) -> None:
+        self._idle_by_peer: dict[str, collections.deque[wire.Link]] = {}
+        self._count_by_peer: collections.Counter[str] = collections.Counter()
+        self.bytes_out = 0
+        self.bytes_in = 0
+
+    def count(self, peer: str) -> int:
+        """Returns the number of open connections to ``peer``."""
+        return self._count_by_peer[peer]
+
+    async def acquire(self, peer: str) -> tuple[wire.Link, bool]:
+        """Returns a link to ``peer`` and whether it had been used before.
+
+        Raises:
+            errors.ConnectError: No connection could be made in time.
+        """
+        idle = self._idle_by_peer.get(peer)
+        while idle:
+            link = idle.pop()
+            if not link.lost:
+                return link, True
+        return await self._connect(peer), False
+
+    async def _connect(self, peer: str) -> wire.Link:
+        host, _, port = peer.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._count_by_peer[peer] += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+                _, link = await loop.create_connection(
+                    lambda: wire.Link(h11.CLIENT), host, int(port)
+                )
+        except (OSError, ValueError, TimeoutError) as error:
+            self._release_count(peer)
+            raise errors.ConnectError(f"cannot connect: {error!r}", peer=peer) from error
+        except asyncio.CancelledError:
+            self._release_count(peer)
+            raise
+        return link
+
+    def _release_count(self, peer: str) -> None:
+        self._count_by_peer[peer] -= 1
+        if not self._count_by_peer[peer]:
+            del self._count_by_peer[peer]
+
+    def release(self, peer: str, link: wire.Link, keep: int = MAX_IDLE_PER_PEER) -> None:
+        """Takes a link back: keeps it if its exchange ended cleanly, else closes it.
+
+        Args:
+            peer: The peer.
+            link: A link that ``acquire`` gave.
+            keep: Largest number of idle links to the peer.
+        """
+        self.bytes_out += link.bytes_written
+        self.bytes_in += link.bytes_read
+        link.bytes_written = link.bytes_read = 0
+        idle = self._idle_by_peer.setdefault(peer, collections.deque())
+        reusable = (
+            not link.lost
+            and link.h11.our_state is h11.DONE
+            and link.h11.their_state is h11.DONE
+            and not link.h11.trailing_data[0]
+            and len(idle) < keep
+        )
+        if not reusable:
+            self.discard(peer, link)
+            return
+        link.h11.start_next_cycle()
+        idle.append(link)
+
+    def discard(self, peer: str, link: wire.Link) -> None:
+        """Closes a link at once; the peer sees its work cancelled."""
+        link.abort()
+        self._release_count(peer)
+
+    def forget(self, peer: str) -> None:
+        """Closes idle connections to a peer that has gone."""
+        for link in self._idle_by_peer.pop(peer, ()):
+            self.discard(peer, link)
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        for peer in list(self._idle_by_peer):
+            self.forget(peer)
+
+
+class Client:
+    """Whole exchanges with the system's own processes.
+
+    Args:
+        pool: Connections to use.
+        token: Bearer credential sent with each request, None for none.
+    """
+
+    def __init__(self, pool: ConnectionPool, token: str | None = None) -> None:
+        self.pool = pool
+        self._token = token
+
+    async def call(
+        self,
+        peer: str,
+        method: str,
+        target: str,
+        body: typing.Any = None,
+        *,
+        timeout: datetime.timedelta,
+        headers: typing.Sequence[tuple[str, str]] = (),
+        raw: bool = False,
+    ) -> Answer:
+        """Sends a request and reads the whole answer.
+
+        Args:
+            peer: ``host:port`` of the process.
+            method: HTTP method.
+            target: Path and query.
+            body: Value to send as JSON, or bytes when ``raw``; None for no body.
+            timeout: For the whole exchange.
+            headers: Further headers.
+            raw: Whether ``body`` is bytes to be sent as they are.
+
+        Raises:
+            errors.TransportError: The exchange failed; ``sent`` tells whether a byte went out.
+        """
+        data = b"" if body is None else body if raw else orjson.dumps(body)
+        head = h11.Request(method=method, target=target, headers=self._headers(peer, data, headers))
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                return await self._exchange(peer, head, data, timeout)
+        except TimeoutError as error:
+            raise errors.ExchangeTimeoutError(
+                "no answer in time", step=f"{method} {target}", peer=peer
+            ) from error
+
+    def _headers(self, peer: str, data: bytes, extra) -> list[tuple[str, str]]:
+        headers = [("host", peer), ("content-length", str(len(data))), *extra]
+        if self._token is not None:
+            headers.append(("authorization", f"Bearer {self._token}"))
+        return headers
+
+    async def _exchange(
+        self, peer: str, head: h11.Request, data: bytes, timeout: datetime.timedelta
+    ) -> Answer:
+        while True:
+            link, reused = await self.pool.acquire(peer)
+            try:
+                answer = await self._exchange_on(link, head, data, timeout)
+            except errors.ConnectionLostError:
+                self.pool.discard(peer, link)
+                # A kept connection may have been closed while idle; peers' calls are idempotent.
+                if reused:
+                    continue
+                raise
+            except BaseException:
+                self.pool.discard(peer, link)
+                raise
+            self.pool.release(peer, link)
+            return answer
+
+    async def _exchange_on(self, link, head, data, timeout) -> Answer:
+        await link.send(head, *([h11.Data(data=data)] if data else []), h11.EndOfMessage())
+        response = await link.next_event(timeout)
+        while isinstance(response, h11.InformationalResponse):
+            response = await link.next_event(timeout)
+        if not isinstance(response, h11.Response):
+            raise errors.ConnectionLostError("no answer", peer=link.peer)
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await link.next_event(timeout)
+            if isinstance(event, h11.EndOfMessage):
+                return Answer(response.status_code, list(response.headers), b"".join(parts))
+            size += len(event.data)
+            if size > MAX_ANSWER_BYTES:
+                raise errors.ProtocolError("answer is too large", peer=link.peer)
+            parts.append(bytes(event.data))
+
+
+def raise_for_status(answer: Answer, *, step: str, peer: str) -> typing.Any:
+    """Returns the JSON body of a successful answer.
+
+    Raises:
+        errors.FlamingotillerError: The kind that the peer's error document names.
+    """
+    document = answer.json()
+    if answer.status < 300:
+        return document
+    message = document.get("message", f"status {answer.status}")
+    if answer.status == 409:
+        raise errors.ConflictError(message, winner=document.get("winner", ""), step=step, peer=peer)
+    if answer.status == 421:
+        raise errors.NotLeaderError(
+            message, leader=document.get("leader", ""), step=step, peer=peer
+        )
+    if answer.status == 400:
+        raise errors.InvalidInputError(
+            message, faults=document.get("faults", ()), step=step, peer=peer
+        )
+    if answer.status in (401, 403):
+        raise errors.UnauthenticatedError(message, step=step, peer=peer)
+    if answer.status == 404:
+        raise errors.NotFoundError(message, step=step, peer=peer)
+    raise errors.UnavailableError(message, step=step, peer=peer)
--- /dev/null
+++ b/flamingotiller/clock.py
@@ -0,0 +1,72 @@
+"""Time as an interface: logic takes a clock or a point in time and never reads the system's."""
+
+from __future__ import annotations
+
+import abc
+import datetime
+import time
+
+ZERO = datetime.timedelta()
+
+
+class Clock(abc.ABC):
+    """Source of monotonic time for leases and of UTC time for people."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time since an arbitrary start; never goes back within a process."""
+
+    @abc.abstractmethod
+    def utc(self) -> datetime.datetime:
+        """Returns the calendar time; for display only, no decision depends on it."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system.
+
+    The monotonic reading counts time in system suspend where the platform offers it, so that a
+    lease held over a suspend is seen as expired.
+    """
+
+    _SOURCE = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time since boot."""
+        return datetime.timedelta(seconds=time.clock_gettime(self._SOURCE))
+
+    def utc(self) -> datetime.datetime:
+        """Returns the system's calendar time."""
+        return datetime.datetime.now(datetime.UTC)
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to; for tests and offline measurements."""
+
+    def __init__(self, start: datetime.timedelta = ZERO) -> None:
+        self._now = start
+        self._epoch = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time that the clock was last moved to."""
+        return self._now
+
+    def utc(self) -> datetime.datetime:
+        """Returns a fixed date plus the monotonic reading."""
+        return self._epoch + self._now
+
+    def advance(self, step: datetime.timedelta) -> datetime.timedelta:
+        """Moves the clock forward.
+
+        Args:
+            step: Non-negative duration.
+
+        Returns:
+            The new reading.
+        """
+        self._now += step
+        return self._now
+
+
+def seconds(value: float) -> datetime.timedelta:
+    """Returns a duration of ``value`` seconds."""
+    return datetime.timedelta(seconds=value)
--- /dev/null
+++ b/flamingotiller/control_routes.py
@@ -0,0 +1,297 @@
+"""Routes of a control instance: replication and feed for peers, changes and status for
+operators."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import pydantic
+
+from flamingotiller import (
+    configuration,
+    control,
+    errors,
+    events,
+    kernel,
+    replica,
+    server,
+    settings,
+)
+
+MAX_AUDIT_ROWS = 1000
+
+
+class ChangeRequest(pydantic.BaseModel):
+    """Body of ``POST /v1/changes``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    change_id: str = pydantic.Field(min_length=1, max_length=200)
+    subject: str = pydantic.Field(min_length=1, max_length=300)
+    base: int | None = pydantic.Field(default=None, ge=0)
+    value: typing.Any = None
+
+
+class ReplicaRequest(pydantic.BaseModel):
+    """Body of ``POST /v1/replica``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    sender: str
+    message: dict[str, typing.Any]
+
+
+class ClaimRequest(pydantic.BaseModel):
+    """Body of ``POST /v1/log-claims``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    kind: typing.Literal["claim", "release", "finish"]
+    organisation: str = pydantic.Field(max_length=63)
+    id: str = pydantic.Field(min_length=1, max_length=200)
+    arrival: str = pydantic.Field(min_length=1, max_length=64)
+    holder: str = pydantic.Field(default="", max_length=64)
+
+
+class MemberRequest(pydantic.BaseModel):
+    """Body of ``POST /v1/members``."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    action: typing.Literal["add", "promote", "remove"]
+    identity: str = pydantic.Field(min_length=1, max_length=100)
+    address: settings.Address | None = None
+
+
+M = typing.TypeVar("M", bound=pydantic.BaseModel)
+
+
+def validate(model: type[M], document: typing.Any, peer: str) -> M:
+    """Validates a decoded body.
+
+    Raises:
+        errors.InvalidInputError: Names every fault by path.
+    """
+    try:
+        return model.model_validate(document)
+    except pydantic.ValidationError as error:
+        faults = [
+            f"{'.'.join(map(str, fault['loc'])) or '(body)'}: {fault['msg']}"
+            for fault in error.errors()
+        ]
+        raise errors.InvalidInputError(
+            "body is not valid", faults=faults, step="read body", peer=peer
+        ) from error
+
+
+async def read_model(model: type[M], request: server.Request) -> M:
+    """Reads a body and validates it; errors as ``validate``."""
+    return validate(model, await request.read_json(), request.peer)
+
+
+@kernel.control_routes.register("POST /v1/replica")
+async def receive_message(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Takes a message of another member and answers with the replies for it."""
+    process.require_peer(request)
+    body = await read_model(ReplicaRequest, request)
+    replies = await process.receive(body.sender, replica.message_from_wire(body.message))
+    await reply.json(200, {"replies": [replica.message_to_wire(item) for item in replies]})
+
+
+@kernel.control_routes.register("POST /v1/feed")
+async def feed(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Answers a subscriber; see ``flamingotiller.feed``."""
+    process.require_peer(request)
+    document = await request.read_json()
+    await reply.json(200, await process.feed.answer(document))
+
+
+@kernel.control_routes.register("POST /v1/changes")
+async def change(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Puts an operator's change through the log."""
+    who = process.require_operator(request)
+    await _change(process, who, request, reply)
+
+
+@kernel.control_routes.register("POST /v1/reports/quarantine")
+async def report_quarantine(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Puts a quarantine that an entry instance asks for through the log."""
+    process.require_peer(request)
+    await _change(process, "entry", request, reply, kind="quarantine/")
+
+
+async def _change(process, who, request, reply, kind: str = "") -> None:
+    body = await read_model(ChangeRequest, request)
+    if not body.subject.startswith(kind):
+        raise errors.InvalidInputError(f"only {kind} subjects are allowed here", step="change")
+    asked = configuration.Change(
+        body.change_id,
+        who,
+        configuration.timestamp(process.clock.utc()),
+        body.subject,
+        body.base,
+        body.value,
+    )
+    configuration.check_change(asked)
+    verdict = await process.propose({"kind": "change", "change": asked.to_wire()})
+    _log_verdict(process, verdict)
+    if verdict.accepted:
+        await reply.json(200, dataclasses.asdict(verdict))
+        return
+    await reply.json(409, {"message": verdict.reason, **dataclasses.asdict(verdict)})
+
+
+def _log_verdict(process: control.ControlInstance, verdict: configuration.Verdict) -> None:
+    shown = {"who": verdict.who, "change_id": verdict.change_id, "subject": verdict.subject}
+    if verdict.accepted:
+        events.emit(events.CHANGE_ACCEPTED, version=verdict.to_version, **shown)
+    else:
+        events.emit(events.CHANGE_REFUSED, reason=verdict.reason, **shown)
+    result = "accepted" if verdict.accepted else "refused"
+    process.metrics.count("flamingotiller_changes_total", result=result)
+
+
+def _require_confirmed(process: control.ControlInstance) -> None:
+    """Lets only a leader that a quorum confirmed lately answer reads.
+
+    Raises:
+        errors.NotLeaderError: This instance does not lead.
+        errors.UnavailableError: It leads, but no quorum confirmed it yet.
+    """
+    if process.replica.role != "leader":
+        raise errors.NotLeaderError(
+            "this control instance does not lead", leader=process.leader_address(), step="read"
+        )
+    if not process.feed.is_fresh(2 * process.config.election_timeout):
+        raise errors.UnavailableError("no quorum has confirmed this leader yet", step="read")
+
+
+@kernel.control_routes.register("GET /v1/items")
+async def items(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Answers an operator with the items whose subject starts with ``prefix``."""
+    process.require_operator(request)
+    _require_confirmed(process)
+    prefix = request.query.get("prefix", "")
+    found = {
+        subject: dataclasses.asdict(item)
+        for subject, item in sorted(process.state.configuration.item_by_subject.items())
+        if subject.startswith(prefix)
+    }
+    await reply.json(200, {"version": process.state.configuration.version, "items": found})
+
+
+@kernel.control_routes.register("GET /v1/audit")
+async def audit(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Answers an operator with the newest verdicts, newest first."""
+    process.require_operator(request)
+    _require_confirmed(process)
+    prefix = request.query.get("prefix", "")
+    limit = _limit(request.query.get("limit", "100"))
+    rows = []
+    for verdict in reversed(process.state.configuration.verdict_by_change_id.values()):
+        if verdict.subject.startswith(prefix):
+            rows.append(dataclasses.asdict(verdict))
+        if len(rows) >= limit:
+            break
+    await reply.json(200, {"rows": rows})
+
+
+def _limit(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_AUDIT_ROWS:
+        raise errors.InvalidInputError(
+            f"limit: expected 1 to {MAX_AUDIT_ROWS}, got {text!r}", step="audit"
+        )
+    return int(text)
+
+
+@kernel.control_routes.register("GET /v1/status")
+async def status(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Answers an operator with the log's members and which version each process has in force."""
+    process.require_operator(request)
+    _require_confirmed(process)
+    members = process.replica.members
+    rows = []
+    for identity in (*members.voters, *members.learners):
+        progress = process.replica.progress_of(identity)
+        rows.append(
+            {
+                "identity": identity,
+                "address": members.address_of(identity),
+                "voter": identity in members.voters,
+                "behind": process.replica.store.last_index - (progress.match if progress else 0),
+            }
+        )
+    reports = process.feed.reports()
+    await reply.json(
+        200,
+        {
+            "version": process.feed.version,
+            "leader": process.replica.identity,
+            "term": process.replica.store.term,
+            "members": rows,
+            "reports": {name: dataclasses.asdict(report) for name, report in reports.items()},
+        },
+    )
+
+
+@kernel.control_routes.register("POST /v1/log-claims")
+async def log_claim(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Claims, releases or finishes a request id that a caller chose."""
+    process.require_peer(request)
+    body = await read_model(ClaimRequest, request)
+    at_ms = int(process.clock.utc().timestamp() * 1000)
+    verdict = await process.propose({**body.model_dump(), "at_ms": at_ms})
+    if body.kind != "claim":
+        await reply.json(200, {})
+        return
+    if verdict is None:
+        raise errors.UnavailableError("the table of claims is full", step="claim")
+    await reply.json(200, {"state": verdict.state.value, "holder": verdict.holder})
+
+
+@kernel.control_routes.register("POST /v1/members")
+async def change_members(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Adds a learner, makes a caught-up learner a voter, or removes a member."""
+    process.require_operator(request)
+    body = await read_model(MemberRequest, request)
+    await process.change_members(lambda held: _changed(held, body))
+    await reply.json(200, process.replica.members.to_wire())
+
+
+def _changed(held: replica.Members, body: MemberRequest) -> replica.Members:
+    voters, learners = dict(held.voters), dict(held.learners)
+    if body.action == "add":
+        if not body.address:
+            raise errors.InvalidInputError("address: needed to add a member", step="members")
+        if body.identity in voters:
+            raise errors.InvalidInputError("already a voter", step="members")
+        learners[body.identity] = body.address
+    elif body.action == "promote":
+        if body.identity not in learners:
+            raise errors.NotFoundError(f"{body.identity} is no learner", step="members")
+        voters[body.identity] = learners.pop(body.identity)
+    else:
+        if body.identity not in voters and body.identity not in learners:
+            raise errors.NotFoundError(f"{body.identity} is no member", step="members")
+        voters.pop(body.identity, None)
+        learners.pop(body.identity, None)
+    return replica.Members(voters, learners)
--- /dev/null
+++ b/flamingotiller/events.py
@@ -0,0 +1,201 @@
+"""Log events: each has a number, a severity and a fixed set of fields, and stands in the catalogue
+docs/EVENTS.md, so that people and scripts can rely on it."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import logging as std_logging
+
+import orjson
+from absl import logging
+from absl.logging import converter
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """An entry of the catalogue.
+
+    Attributes:
+        number: Unique; never reused for another meaning.
+        level: Severity of ``absl.logging``.
+        text: What happened.
+        fields: Names of the values that a line carries.
+        action: What an operator does.
+    """
+
+    number: int
+    level: int
+    text: str
+    fields: tuple[str, ...]
+    action: str
+
+
+by_number: dict[int, Event] = {}
+
+
+def _define(number: int, level: int, text: str, fields: str, action: str = "none") -> Event:
+    if number in by_number:
+        raise ValueError(f"event {number} is defined twice")
+    event = by_number[number] = Event(number, level, text, tuple(fields.split()), action)
+    return event
+
+
+_INFO, _WARN, _ERROR = logging.INFO, logging.WARNING, logging.ERROR
+
+PROCESS_STARTED = _define(1001, _INFO, "process started", "role instance address version")
+STOP_BEGAN = _define(1002, _INFO, "graceful stop began", "signal in_flight")
+STOP_ENDED = _define(1003, _INFO, "process stopped", "in_flight")
+STOP_FORCED = _define(
+    1004, _WARN, "second signal: stopping at once", "signal", "expected on a second TERM"
+)
+HANDLER_FAULT = _define(
+    1005, _ERROR, "a request handler failed", "peer error", "report with the log line"
+)
+TASK_FAULT = _define(
+    1006,
+    _ERROR,
+    "a background task failed and is restarted",
+    "task error",
+    "report with the log line",
+)
+LOOP_LATE = _define(
+    1007,
+    _WARN,
+    "the process was not scheduled for some time; leases dropped",
+    "late_s",
+    "look for an overloaded or frozen instance",
+)
+
+ELECTION_STARTED = _define(2001, _INFO, "election started", "term")
+LEADER_ELECTED = _define(2002, _INFO, "this instance leads the log", "term index")
+LEADERSHIP_LOST = _define(
+    2003, _WARN, "this instance no longer leads", "term reason", "check the other control instances"
+)
+STORAGE_FAILED = _define(
+    2004,
+    _ERROR,
+    "storage failed; this instance takes no further part",
+    "error",
+    "free space or replace the disk, then restart (docs/OPERATIONS.md)",
+)
+TAIL_DROPPED = _define(2005, _WARN, "a torn record at the end of the log was dropped", "bytes")
+SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index bytes")
+SNAPSHOT_INSTALLED = _define(2007, _INFO, "snapshot of the leader installed", "index")
+MEMBERS_CHANGED = _define(2008, _INFO, "control membership changed", "voters learners")
+CHANGE_ACCEPTED = _define(2010, _INFO, "change accepted", "who change_id subject version")
+CHANGE_REFUSED = _define(
+    2011, _INFO, "change refused", "who change_id subject reason", "see the winner in the answer"
+)
+NEWCOMER = _define(
+    2012,
+    _WARN,
+    "data folder is blank; waiting to be added as a new member",
+    "identity",
+    "control_add, then control_remove the lost identity",
+)
+
+VERSION_IN_FORCE = _define(3001, _INFO, "configuration in force", "version source")
+VERSION_REFUSED = _define(
+    3002,
+    _WARN,
+    "an older configuration was offered and refused",
+    "offered held peer",
+    "none; the peer is behind",
+)
+FRESHNESS_LOST = _define(
+    3003,
+    _WARN,
+    "no confirmation within the bound; keyed routes are refused",
+    "age_s",
+    "check the links to the control instances",
+)
+FRESHNESS_BACK = _define(
+    3004, _INFO, "confirmation is fresh again; keyed routes are served", "age_s"
+)
+FEED_FAILED = _define(3005, _INFO, "a configuration source did not answer", "peer error")
+LEASE_TAKEN = _define(3101, _INFO, "shard lease taken", "shard")
+LEASE_LOST = _define(3102, _INFO, "shard lease lost", "shard")
+MEMBER_UP = _define(3201, _INFO, "member seen", "member zone epoch")
+MEMBER_DOWN = _define(3202, _WARN, "member silent", "member zone", "check the instance")
+SEAT_MISMATCH = _define(
+    3203,
+    _ERROR,
+    "the deployment gives this instance no seat in its zone",
+    "instance zone",
+    "correct the settings or the deployment",
+)
+
+ENDPOINT_ANNOUNCED = _define(4001, _INFO, "endpoint announced", "endpoint service address slots")
+ENDPOINT_LEFT = _define(4002, _INFO, "endpoint left", "endpoint service reason")
+ENDPOINT_DIED = _define(
+    4003, _WARN, "endpoint broke a connection with requests in flight", "endpoint in_flight"
+)
+QUARANTINE_ADDED = _define(
+    4004,
+    _WARN,
+    "requests with this fingerprint are refused",
+    "fingerprint deaths",
+    "quarantine_list; lift if it is innocent",
+)
+ANSWER_INCOMPLETE = _define(
+    4005,
+    _WARN,
+    "an endpoint's answer was not whole; the caller's connection was cut",
+    "endpoint request_id error",
+)
+DRAIN_IN_FORCE = _define(4006, _INFO, "drain in force", "kind name")
+
+
+class JsonFormatter(std_logging.Formatter):
+    """Formats a record as one JSON object a line."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        """Returns the line."""
+        at = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+        document = {"at": at.isoformat(), "level": record.levelname}
+        document.update(getattr(record, "event_fields", {"text": record.getMessage()}))
+        return orjson.dumps(document).decode()
+
+
+def configure(log_format: str) -> None:
+    """Sets the form of log lines.
+
+    Args:
+        log_format: ``text`` or ``json``.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    if log_format == "json":
+        logging.get_absl_handler().setFormatter(JsonFormatter())
+
+
+def silence() -> None:
+    """Leaves out everything below fatal."""
+    logging.set_verbosity(logging.FATAL)
+
+
+def emit(event: Event, **fields: object) -> None:
+    """Logs an event.
+
+    Args:
+        event: From the catalogue.
+        fields: Exactly the fields that the catalogue names.
+    """
+    if set(fields) != set(event.fields):
+        raise ValueError(f"event {event.number} takes {event.fields}, got {sorted(fields)}")
+    shown = " ".join(f"{name}={fields[name]}" for name in event.fields)
+    extra = {"event": event.number, "text": event.text, **{k: str(v) for k, v in fields.items()}}
+    logger = logging.get_absl_logger()
+    level = converter.absl_to_standard(event.level)
+    logger.log(level, "E%d %s %s", event.number, event.text, shown, extra={"event_fields": extra})
+
+
+def catalogue() -> str:
+    """Returns the catalogue as a Markdown table, the content of docs/EVENTS.md."""
+    names = {_INFO: "info", _WARN: "warning", _ERROR: "error"}
+    rows = [
+        f"| {e.number} | {names[e.level]} | {e.text} | {', '.join(e.fields)} | {e.action} |"
+        for e in by_number.values()
+    ]
+    return "\n".join(["| number | level | meaning | fields | action |", "|--|--|--|--|--|", *rows])
--- /dev/null
+++ b/flamingotiller/gossip.py
@@ -0,0 +1,143 @@
+"""The task that exchanges membership: each round with one member of the zone, now and then with
+one instance of another zone, and with the seeds while nobody is known."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+from flamingotiller import client, clock, errors, events, membership
+
+if typing.TYPE_CHECKING:
+    from flamingotiller import entry
+
+TIMEOUT = clock.seconds(1)
+ROUNDS_PER_ZONE_EXCHANGE = 3
+
+
+class Gossip:
+    """Keeps the member table of an entry instance up to date.
+
+    Args:
+        process: The entry instance.
+        table: Its member table.
+        rng: Source of partners.
+    """
+
+    def __init__(
+        self, process: entry.EntryInstance, table: membership.Table, rng: random.Random
+    ) -> None:
+        self._process = process
+        self._rng = rng
+        self.table = table
+        self._round = 0
+
+    async def run(self) -> None:
+        """Exchanges round after round."""
+        while True:
+            self._beat()
+            await asyncio.gather(self._exchange_in_zone(), self._exchange_between_zones())
+            # Rounds of different instances drift apart, so that they do not all talk at once.
+            wait = self._process.config.gossip_interval * self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(wait.total_seconds())
+
+    def _beat(self) -> None:
+        self._round += 1
+        self.table.beat(self._process.feed.version)
+        for member in self.table.prune(self._process.clock.monotonic()):
+            events.emit(events.MEMBER_DOWN, member=member.instance, zone=member.zone)
+
+    async def _exchange_in_zone(self) -> None:
+        partner = self.table.partner(self._process.clock.monotonic(), self._rng)
+        known = {member.address for member in self.table.member_by_instance.values()}
+        strangers = [seed for seed in self._process.config.seeds if seed not in known]
+        if partner:
+            await self.exchange(partner.address)
+        if strangers and (partner is None or self._round % ROUNDS_PER_ZONE_EXCHANGE == 0):
+            await self.greet(self._rng.choice(strangers))
+
+    async def _exchange_between_zones(self) -> None:
+        if self._round % ROUNDS_PER_ZONE_EXCHANGE:
+            return
+        zones = list(self.table.summary_by_zone)
+        if not zones:
+            return
+        addresses = self.table.addresses_in(self._rng.choice(zones))
+        if addresses:
+            await self.greet(self._rng.choice(addresses))
+
+    async def exchange(self, address: str) -> None:
+        """Exchanges with a member of this zone; a failure shows as silence."""
+        try:
+            document = await self._call(address, "/v1/gossip", self.table.digest())
+            wanted = self._merge(document["digest"])
+            if document["wanted"] or wanted:
+                more = {
+                    "zone": self.table.own.zone,
+                    "beats": {},
+                    "records": self.table.records(document["wanted"]),
+                    "wanted": wanted,
+                }
+                document = await self._call(address, "/v1/gossip", more)
+                self._merge(document["digest"])
+        except (errors.FlamingotillerError, KeyError, TypeError):
+            return
+
+    async def greet(self, address: str) -> None:
+        """Exchanges zone summaries, and members when the other is of this zone."""
+        body = {
+            "member": self.table.own.to_wire(),
+            "summaries": self.table.summaries(self._process.clock.monotonic()),
+        }
+        try:
+            document = await self._call(address, "/v1/greet", body)
+            now = self._process.clock.monotonic()
+            self.table.merge_summaries(document["summaries"], now)
+            if document["zone"] == self.table.own.zone:
+                await self.exchange(address)
+        except (errors.FlamingotillerError, KeyError, TypeError):
+            return
+
+    async def _call(self, address: str, path: str, body: typing.Any) -> typing.Any:
+        answer = await self._process.client.call(address, "POST", path, body, timeout=TIMEOUT)
+        return client.raise_for_status(answer, step=path, peer=address)
+
+    def _merge(self, digest: typing.Any) -> list[str]:
+        known = set(self.table.member_by_instance)
+        wanted = self.table.merge(digest, self._process.clock.monotonic())
+        for name in self.table.member_by_instance.keys() - known:
+            member = self.table.member_by_instance[name]
+            events.emit(events.MEMBER_UP, member=name, zone=member.zone, epoch=member.epoch)
+        return wanted
+
+    def on_gossip(self, document: typing.Any) -> dict[str, typing.Any]:
+        """Answers a member of this zone.
+
+        Raises:
+            errors.InvalidInputError: The digest is malformed or of another zone.
+        """
+        wanted = self._merge(document)
+        digest = self.table.digest()
+        asked = document.get("wanted", [])
+        digest["records"] += self.table.records(name for name in asked if isinstance(name, str))
+        return {"digest": digest, "wanted": wanted}
+
+    def on_greeting(self, document: typing.Any) -> dict[str, typing.Any]:
+        """Answers an instance of any zone.
+
+        Raises:
+            errors.InvalidInputError: The greeting is malformed.
+        """
+        if not isinstance(document, dict) or "summaries" not in document:
+            raise errors.InvalidInputError("bad greeting", step="gossip")
+        now = self._process.clock.monotonic()
+        self.table.merge_summaries(document["summaries"], now)
+        return {"zone": self.table.own.zone, "summaries": self.table.summaries(now)}
+
+    async def announce_leaving(self) -> None:
+        """Tells every member of the zone that this instance is about to stop."""
+        self.table.leave()
+        now = self._process.clock.monotonic()
+        others = [m for m in self.table.live(now) if m is not self.table.own]
+        await asyncio.gather(*(self.exchange(member.address) for member in others))
--- /dev/null
+++ b/flamingotiller/operator_routes.py
@@ -0,0 +1,49 @@
+"""Routes of an entry instance for operators: what it and its zone are doing now."""
+
+from __future__ import annotations
+
+import typing
+
+from flamingotiller import entry, kernel, selection, server
+
+
+@kernel.entry_routes.register("GET /v1/instance")
+async def instance(
+    process: entry.EntryInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Answers with the requests in flight here, the shards held and the endpoints of those."""
+    process.require_operator(request)
+    now = process.clock.monotonic()
+    await reply.json(
+        200,
+        {
+            "instance": process.config.instance,
+            "zone": process.config.zone,
+            "leaving": process.table.own.leaving,
+            # This request itself does not count.
+            "in_flight": process.server.request_count - 1,
+            "connections": process.server.connection_count,
+            "shards": sorted(process.shards.held),
+            "members": [member.instance for member in process.table.live(now)],
+            "services": {
+                service: _queue(queue) for service, queue in process.slots.queue_by_service.items()
+            },
+        },
+    )
+
+
+def _queue(queue: selection.SlotQueue) -> dict[str, typing.Any]:
+    return {
+        "waiting": queue.waiting,
+        "endpoints": [
+            {
+                "name": station.endpoint.name,
+                "address": station.endpoint.address,
+                "slots": station.endpoint.slots,
+                "used": station.used,
+                "reported_load": station.endpoint.load,
+                "leaving": station.endpoint.leaving,
+            }
+            for station in queue.station_by_name.values()
+        ],
+    }
--- /dev/null
+++ b/flamingotiller/porcelain.py
@@ -0,0 +1,280 @@
+"""What operators do, as plain functions and one client class; the command line is a thin layer
+over this module, and scripts may use it directly."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime
+import difflib
+import json
+import typing
+import urllib.parse
+import uuid
+
+from flamingotiller import (
+    client,
+    clock,
+    configuration,
+    contract,
+    control_client,
+    errors,
+)
+
+CALL_TIMEOUT = clock.seconds(8)
+INSTANCE_TIMEOUT = clock.seconds(2)
+POLL_INTERVAL = clock.seconds(0.2)
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """A contract or deployment read from a file.
+
+    Attributes:
+        subject: Subject that it sets.
+        value: Its decoded content.
+    """
+
+    subject: str
+    value: dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """Whether a version is in force everywhere.
+
+    Attributes:
+        version: The version waited for.
+        done: Whether every process that reports has it.
+        in_force: Names of the processes that have it.
+        laggards: Version by name of those that do not.
+    """
+
+    version: int
+    done: bool
+    in_force: list[str]
+    laggards: dict[str, int]
+
+
+def read_document(path: str) -> Document:
+    """Reads and validates a contract or deployment file.
+
+    Raises:
+        errors.ContractError: Names every fault by path.
+    """
+    value = contract.read_toml(path)
+    if "zones" in value:
+        contract.deployment_from_document(value)
+        return Document("deployment/main", value)
+    checked = contract.contract_from_document(value)
+    return Document(f"contract/{checked.organisation}", value)
+
+
+def new_change_id() -> str:
+    """Returns a change id that was never used before."""
+    return str(uuid.uuid4())
+
+
+def difference(old: typing.Any, new: typing.Any) -> str:
+    """Returns a unified diff of two values, empty when they are equal."""
+    before, after = (
+        json.dumps(value, indent=2, sort_keys=True).splitlines() if value is not None else []
+        for value in (old, new)
+    )
+    return "\n".join(difflib.unified_diff(before, after, "in force", "file", lineterm=""))
+
+
+class Operator:
+    """Speaks with the control instances on behalf of an operator.
+
+    Args:
+        servers: Addresses of control instances.
+        token: The operator's credential.
+    """
+
+    def __init__(self, servers: typing.Sequence[str], token: str) -> None:
+        self._pool = client.ConnectionPool()
+        self._client = client.Client(self._pool, token)
+        self._clock = clock.SystemClock()
+        self._control = control_client.ControlClient(self._client, servers, self._clock)
+
+    async def close(self) -> None:
+        """Closes connections."""
+        await self._pool.close()
+
+    async def change(
+        self, subject: str, value: typing.Any, base: int | None, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Asks for a change.
+
+        Args:
+            subject: What it concerns.
+            value: New value, None to remove the subject.
+            base: Version of the subject that it is based on, None for any.
+            change_id: To send a change again; a new one is made when None.
+
+        Raises:
+            errors.ConflictError: Another change came first, or the change is not allowed.
+            errors.UnavailableError: Not decided; send it again with the same change id.
+        """
+        body = {
+            "change_id": change_id or new_change_id(),
+            "subject": subject,
+            "base": base,
+            "value": value,
+        }
+        document = await self._control.call("POST", "/v1/changes", body, CALL_TIMEOUT)
+        return configuration.Verdict(**document)
+
+    async def items(self, prefix: str = "") -> dict[str, configuration.Item]:
+        """Returns the items whose subject starts with a prefix."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        document = await self._get(f"/v1/items?{query}")
+        return {s: configuration.Item(**item) for s, item in document["items"].items()}
+
+    async def item(self, subject: str) -> configuration.Item | None:
+        """Returns one item, None if there is none."""
+        return (await self.items(subject)).get(subject)
+
+    async def base_of(self, subject: str) -> int:
+        """Returns the version of a subject, 0 if there is none."""
+        held = await self.item(subject)
+        return held.version if held else 0
+
+    async def apply(
+        self, document: Document, base: int | None = None, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Applies a contract or deployment on top of what is in force.
+
+        Args:
+            document: What to apply.
+            base: Version that the file was made from; the present one when None.
+            change_id: To send a change again.
+        """
+        if base is None:
+            # A change sent again must be the change that was sent before, base and all.
+            base = None if change_id else await self.base_of(document.subject)
+        return await self.change(document.subject, document.value, base, change_id)
+
+    async def give_key(
+        self, organisation: str, change_id: str | None = None
+    ) -> tuple[str, configuration.Verdict]:
+        """Gives an organisation a new key.
+
+        Returns:
+            The key, which is shown this once, and the verdict.
+        """
+        text, key_id, key = configuration.new_key(organisation)
+        verdict = await self.change(
+            f"key/{organisation}/{key_id}", dataclasses.asdict(key), 0, change_id
+        )
+        return text, verdict
+
+    async def withdraw_key(
+        self, organisation: str, key_id: str, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Withdraws a key."""
+        return await self.change(f"key/{organisation}/{key_id}", None, None, change_id)
+
+    async def start_drain(
+        self, kind: str, name: str, reason: str, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Announces a drain of an endpoint, instance, zone or region."""
+        subject = f"drain/{kind}/{name}"
+        return await self.change(subject, {"reason": reason}, None, change_id)
+
+    async def cancel_drain(
+        self, kind: str, name: str, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Ends a drain."""
+        return await self.change(f"drain/{kind}/{name}", None, None, change_id)
+
+    async def lift_quarantine(
+        self, fingerprint: str, change_id: str | None = None
+    ) -> configuration.Verdict:
+        """Serves a quarantined request again."""
+        return await self.change(f"quarantine/{fingerprint}", None, None, change_id)
+
+    async def audit(self, prefix: str = "", limit: int = 100) -> list[configuration.Verdict]:
+        """Returns the newest verdicts, newest first."""
+        query = urllib.parse.urlencode({"prefix": prefix, "limit": limit})
+        document = await self._get(f"/v1/audit?{query}")
+        return [configuration.Verdict(**row) for row in document["rows"]]
+
+    async def status(self) -> dict[str, typing.Any]:
+        """Returns the log's members and what each process reports."""
+        return await self._get("/v1/status")
+
+    async def wait(self, version: int, timeout: datetime.timedelta) -> Waiting:
+        """Waits until every process that reports has a version in force."""
+        deadline = self._clock.monotonic() + timeout
+        while True:
+            waiting = _compare(version, (await self.status())["reports"])
+            if waiting.done or self._clock.monotonic() >= deadline:
+                return waiting
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+
+    async def instances(self) -> list[dict[str, typing.Any]]:
+        """Returns what each entry instance that reports is doing; unreachable ones are named."""
+        reports = (await self.status())["reports"]
+        entries = [(n, r["address"]) for n, r in reports.items() if r["zone"] != "control"]
+        return await asyncio.gather(*(self._instance(n, a) for n, a in sorted(entries)))
+
+    async def _instance(self, name: str, address: str) -> dict[str, typing.Any]:
+        try:
+            answer = await self._client.call(
+                address, "GET", "/v1/instance", timeout=INSTANCE_TIMEOUT
+            )
+            return client.raise_for_status(answer, step="instance", peer=address)
+        except errors.FlamingotillerError as error:
+            return {"instance": name, "error": str(error), "services": {}, "in_flight": 0}
+
+    async def in_flight_at(self, kind: str, name: str) -> int:
+        """Returns the requests still in flight at what is being drained."""
+        rows = await self.instances()
+        if kind == "endpoint":
+            return sum(
+                endpoint["used"]
+                for row in rows
+                for queue in row["services"].values()
+                for endpoint in queue["endpoints"]
+                if endpoint["name"] == name
+            )
+        zones = {name}
+        if kind == "region":
+            held = await self.item("deployment/main")
+            zones = (
+                {z["name"] for z in held.value["zones"] if z["region"] == name} if held else set()
+            )
+        return sum(
+            row["in_flight"]
+            for row in rows
+            if (row["instance"] == name if kind == "instance" else row.get("zone") in zones)
+        )
+
+    async def change_member(
+        self, action: str, identity: str, address: str | None = None
+    ) -> dict[str, typing.Any]:
+        """Adds, promotes or removes a member of the replicated log."""
+        body = {"action": action, "identity": identity, "address": address}
+        return await self._control.call("POST", "/v1/members", body, CALL_TIMEOUT)
+
+    async def _get(self, target: str) -> typing.Any:
+        return await self._control.call("GET", target, None, CALL_TIMEOUT)
+
+
+def _compare(version: int, reports: dict[str, typing.Any]) -> Waiting:
+    laggards = {n: r["version"] for n, r in reports.items() if r["version"] < version}
+    in_force = sorted(n for n in reports if n not in laggards)
+    return Waiting(version, not laggards, in_force, laggards)
+
+
+@contextlib.asynccontextmanager
+async def connect(servers: typing.Sequence[str], token: str) -> typing.AsyncIterator[Operator]:
+    """Gives an operator's client that is closed at the end."""
+    operator = Operator(servers, token)
+    try:
+        yield operator
+    finally:
+        await operator.close()
--- /dev/null
+++ b/flamingotiller/replica.py
@@ -0,0 +1,635 @@
+"""One replica of the replicated log: elections, replication, membership and confirmation.
+
+The logic is pure. It reads messages and time, writes to a journal and leaves messages in an
+outbox. The caller syncs the journal first and sends the outbox after, so that no message speaks
+of anything that a crash could take back. Ways weighed: docs/design/replicated-log.md."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import random
+import typing
+
+from flamingotiller import clock, errors, journal
+
+MAX_ENTRIES_PER_APPEND = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Intervals of a replica.
+
+    Attributes:
+        heartbeat: Between the leader's messages.
+        election_timeout: Shortest silence after which a replica asks for votes; the longest is
+            twice that.
+    """
+
+    heartbeat: datetime.timedelta = clock.seconds(0.25)
+    election_timeout: datetime.timedelta = clock.seconds(1.5)
+
+
+@dataclasses.dataclass(frozen=True)
+class Members:
+    """Membership of the log.
+
+    Attributes:
+        voters: Address by identity of the members that elect and count for commitment.
+        learners: Address by identity of members that only receive the log.
+    """
+
+    voters: dict[str, str]
+    learners: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def address_of(self, identity: str) -> str:
+        """Returns a member's address, empty if unknown."""
+        return self.voters.get(identity) or self.learners.get(identity, "")
+
+    def to_wire(self) -> dict[str, dict[str, str]]:
+        """Returns the JSON form."""
+        return {"voters": self.voters, "learners": self.learners}
+
+    @property
+    def quorum(self) -> int:
+        """Smallest number of voters that is a majority."""
+        return len(self.voters) // 2 + 1
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteRequest:
+    """Asks for a vote, or with ``pre`` whether one would be given."""
+
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class VoteReply:
+    """Answers a vote request."""
+
+    term: int
+    voter: str
+    granted: bool
+    pre: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Append:
+    """Sends entries, or none as a heartbeat. ``round`` numbers the leader's broadcasts."""
+
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    entries: list[list[typing.Any]]
+    commit: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AppendReply:
+    """Answers an append or a snapshot; ``match`` is the last index known to agree, or a hint."""
+
+    term: int
+    follower: str
+    ok: bool
+    match: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True)
+class InstallSnapshot:
+    """Sends a snapshot to a member that is behind the leader's log."""
+
+    term: int
+    leader: str
+    index: int
+    snapshot_term: int
+    members: typing.Any
+    state: typing.Any
+    round: int
+
+
+Message = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot
+
+MESSAGE_TYPE_BY_NAME: dict[str, type] = {
+    kind.__name__: kind for kind in (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot)
+}
+
+
+def message_to_wire(message: Message) -> dict[str, typing.Any]:
+    """Returns the JSON form of a message."""
+    return {"type": type(message).__name__, **dataclasses.asdict(message)}
+
+
+def message_from_wire(document: typing.Any) -> Message:
+    """Builds a message from its JSON form.
+
+    Raises:
+        errors.InvalidInputError: Not a message.
+    """
+    try:
+        fields = dict(document)
+        kind = MESSAGE_TYPE_BY_NAME[fields.pop("type")]
+        message = kind(**fields)
+        for field in dataclasses.fields(kind):
+            expected = {"int": int, "str": str, "bool": bool}.get(str(field.type))
+            if expected and type(getattr(message, field.name)) is not expected:
+                raise TypeError(f"{field.name} must be {field.type}")
+        return message
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.InvalidInputError(f"not a message: {error}", step="decode message") from error
+
+
+@dataclasses.dataclass
+class Progress:
+    """What the leader knows of a member.
+
+    Attributes:
+        next_index: First entry to send.
+        match: Last entry known to be durable there.
+        acked_round: Latest broadcast that it answered.
+        acked_at: When it last answered.
+        sent_through: Last entry sent and not yet answered.
+    """
+
+    next_index: int
+    match: int = 0
+    acked_round: int = 0
+    acked_at: datetime.timedelta = clock.ZERO
+    sent_through: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Confirmation:
+    """Proof that no change was accepted beyond an index before a point in time.
+
+    Attributes:
+        index: Commit index.
+        as_of: Leader's monotonic time at which the index was the newest.
+    """
+
+    index: int
+    as_of: datetime.timedelta
+
+
+class Replica:
+    """A member of the replicated log.
+
+    Args:
+        store: The journal; owned by this replica.
+        now: Monotonic time.
+        rng: Source of election timeouts.
+        timing: Intervals.
+
+    Attributes:
+        role: ``follower``, ``candidate`` or ``leader``.
+        leader: Identity of the leader of the term, empty if unknown.
+        commit: Last committed index.
+        outbox: Pairs of identity and message, to be sent after the journal is synced.
+        confirmation: Newest proof of freshness; only a leader has one.
+    """
+
+    def __init__(
+        self,
+        store: journal.Journal,
+        now: datetime.timedelta,
+        rng: random.Random,
+        timing: Timing | None = None,
+    ) -> None:
+        self.store = store
+        self.timing = timing or Timing()
+        self.role = "follower"
+        self.leader = ""
+        self.commit = store.snapshot.index
+        self.outbox: list[tuple[str, Message]] = []
+        self.confirmation: Confirmation | None = None
+        self._rng = rng
+        self._votes: set[str] = set()
+        self._pre_votes: set[str] = set()
+        self._progress_by_id: dict[str, Progress] = {}
+        self._round = 0
+        self._round_started: dict[int, tuple[datetime.timedelta, int]] = {}
+        self._heartbeat_due = now
+        self._heard_at = now - 2 * self.timing.election_timeout
+        self._led_since = now
+        self._reset_election_timer(now)
+
+    @property
+    def identity(self) -> str:
+        """Name of this member."""
+        return self.store.identity
+
+    @property
+    def members(self) -> Members:
+        """The newest membership in the log, committed or not."""
+        for entry in reversed(self.store.entries):
+            if entry.kind == "members":
+                return Members(**entry.body)
+        held = self.store.snapshot.members
+        return Members(**held) if held else Members({})
+
+    def _members_index(self) -> int:
+        for entry in reversed(self.store.entries):
+            if entry.kind == "members":
+                return entry.index
+        return self.store.snapshot.index
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member takes part in elections."""
+        return self.identity in self.members.voters
+
+    def progress_of(self, identity: str) -> Progress | None:
+        """Returns what the leader knows of a member."""
+        return self._progress_by_id.get(identity)
+
+    # Time
+
+    def tick(self, now: datetime.timedelta) -> None:
+        """Lets timers act; to be called every few tens of milliseconds."""
+        if self.role == "leader":
+            self._tick_leader(now)
+        elif now >= self._election_due and self.is_voter:
+            self._start_pre_vote(now)
+
+    def _tick_leader(self, now: datetime.timedelta) -> None:
+        if not self._quorum_heard(now):
+            self._become_follower(self.store.term, now)
+            return
+        if now >= self._heartbeat_due:
+            self.broadcast(now)
+
+    def _quorum_heard(self, now: datetime.timedelta) -> bool:
+        members = self.members
+        heard = sum(
+            identity == self.identity
+            or now - max(self._progress(identity).acked_at, self._led_since)
+            <= 2 * self.timing.election_timeout
+            for identity in members.voters
+        )
+        return heard >= members.quorum
+
+    def _reset_election_timer(self, now: datetime.timedelta) -> None:
+        base = self.timing.election_timeout
+        self._election_due = now + base + base * self._rng.random()
+
+    # Elections
+
+    def _start_pre_vote(self, now: datetime.timedelta) -> None:
+        self._reset_election_timer(now)
+        self.leader = ""
+        self._pre_votes = {self.identity}
+        if self._has_quorum(self._pre_votes):
+            self._start_election(now)
+            return
+        self._ask_votes(self.store.term + 1, pre=True)
+
+    def _start_election(self, now: datetime.timedelta) -> None:
+        self.role = "candidate"
+        self.leader = ""
+        self._votes = {self.identity}
+        self._pre_votes = set()
+        self.store.set_vote(self.store.term + 1, self.identity)
+        self._reset_election_timer(now)
+        if self._has_quorum(self._votes):
+            self._become_leader(now)
+            return
+        self._ask_votes(self.store.term, pre=False)
+
+    def _ask_votes(self, term: int, *, pre: bool) -> None:
+        request = VoteRequest(term, self.identity, self.store.last_index, self.store.last_term, pre)
+        for identity in self.members.voters:
+            if identity != self.identity:
+                self.outbox.append((identity, request))
+
+    def _has_quorum(self, granted: set[str]) -> bool:
+        members = self.members
+        return len(granted & members.voters.keys()) >= members.quorum
+
+    def _become_leader(self, now: datetime.timedelta) -> None:
+        self.role = "leader"
+        self.leader = self.identity
+        self.confirmation = None
+        self._led_since = now
+        self._progress_by_id = {}
+        self._round_started = {}
+        self._append("noop", None)
+        self.broadcast(now)
+        self._advance_commit()
+
+    def _become_follower(self, term: int, now: datetime.timedelta, leader: str = "") -> None:
+        if term > self.store.term:
+            self.store.set_vote(term, "")
+        if self.role != "follower":
+            self._reset_election_timer(now)
+        self.role = "follower"
+        self.leader = leader
+        self.confirmation = None
+        self._round_started = {}
+
+    # Messages
+
+    def receive(self, message: Message, now: datetime.timedelta) -> None:
+        """Handles a message of another member."""
+        match message:
+            case VoteRequest():
+                self._on_vote_request(message, now)
+            case VoteReply():
+                self._on_vote_reply(message, now)
+            case Append():
+                self._on_append(message, now)
+            case AppendReply():
+                self._on_append_reply(message, now)
+            case InstallSnapshot():
+                self._on_snapshot(message, now)
+
+    def _on_vote_request(self, request: VoteRequest, now: datetime.timedelta) -> None:
+        # A member that hears a leader answers no candidate: one that was cut off and comes back
+        # with a higher term cannot unseat a working leader.
+        hears_leader = self.role == "leader" or now - self._heard_at < self.timing.election_timeout
+        if hears_leader or request.term < self.store.term:
+            self._reply_vote(request, granted=False)
+            return
+        up_to_date = (request.last_term, request.last_index) >= (
+            self.store.last_term,
+            self.store.last_index,
+        )
+        if request.pre:
+            self._reply_vote(request, granted=up_to_date and request.term > self.store.term)
+            return
+        if request.term > self.store.term:
+            self._become_follower(request.term, now)
+        granted = up_to_date and self.is_voter
+        granted = granted and self.store.voted_for in ("", request.candidate)
+        if granted:
+            self.store.set_vote(request.term, request.candidate)
+            self._reset_election_timer(now)
+        self._reply_vote(request, granted=granted)
+
+    def _reply_vote(self, request: VoteRequest, *, granted: bool) -> None:
+        granted = granted and self.is_voter
+        term = request.term if request.pre and granted else self.store.term
+        reply = VoteReply(term, self.identity, granted, request.pre)
+        self.outbox.append((request.candidate, reply))
+
+    def _on_vote_reply(self, reply: VoteReply, now: datetime.timedelta) -> None:
+        if not reply.granted:
+            if reply.term > self.store.term:
+                self._become_follower(reply.term, now)
+            return
+        if reply.pre:
+            if self.role == "follower" and self._pre_votes and reply.term == self.store.term + 1:
+                self._pre_votes.add(reply.voter)
+                if self._has_quorum(self._pre_votes):
+                    self._start_election(now)
+            return
+        if self.role == "candidate" and reply.term == self.store.term:
+            self._votes.add(reply.voter)
+            if self._has_quorum(self._votes):
+                self._become_leader(now)
+
+    def _accept_leader(self, term: int, leader: str, now: datetime.timedelta) -> bool:
+        if term < self.store.term:
+            return False
+        if term > self.store.term or self.role != "follower":
+            self._become_follower(term, now, leader)
+        self.leader = leader
+        self._heard_at = now
+        self._pre_votes = set()
+        self._reset_election_timer(now)
+        return True
+
+    def _on_append(self, message: Append, now: datetime.timedelta) -> None:
+        if not self._accept_leader(message.term, message.leader, now):
+            self._reply_append(message.leader, False, 0, message.round)
+            return
+        previous = message.previous_index
+        known = previous <= self.store.snapshot.index
+        if not known and self.store.term_at(previous) != message.previous_term:
+            hint = min(previous - 1, self.store.last_index)
+            self._reply_append(message.leader, False, hint, message.round)
+            return
+        for item in message.entries:
+            self._store_entry(journal.Entry(*item))
+        match = previous + len(message.entries)
+        self.commit = max(self.commit, min(message.commit, match))
+        self._reply_append(message.leader, True, match, message.round)
+
+    def _store_entry(self, entry: journal.Entry) -> None:
+        if entry.index <= self.store.snapshot.index:
+            return
+        held = self.store.term_at(entry.index)
+        if held == entry.term:
+            return
+        if held is not None:
+            if entry.index <= self.commit:
+                raise errors.StorageError(
+                    f"entry {entry.index} contradicts a committed one", step="append"
+                )
+            self.store.truncate(entry.index)
+        self.store.append(entry)
+
+    def _reply_append(self, leader: str, ok: bool, match: int, round_number: int) -> None:
+        reply = AppendReply(self.store.term, self.identity, ok, match, round_number)
+        self.outbox.append((leader, reply))
+
+    def _on_snapshot(self, message: InstallSnapshot, now: datetime.timedelta) -> None:
+        if not self._accept_leader(message.term, message.leader, now):
+            self._reply_append(message.leader, False, 0, message.round)
+            return
+        if message.index > self.commit:
+            if self.store.term_at(message.index) == message.snapshot_term:
+                self.commit = message.index
+            else:
+                snapshot = journal.Snapshot(
+                    message.index, message.snapshot_term, message.members, message.state
+                )
+                self.store.install(snapshot)
+                self.commit = message.index
+        self._reply_append(message.leader, True, message.index, message.round)
+
+    def _on_append_reply(self, reply: AppendReply, now: datetime.timedelta) -> None:
+        if reply.term > self.store.term:
+            self._become_follower(reply.term, now)
+            return
+        if self.role != "leader" or reply.term < self.store.term:
+            return
+        progress = self._progress(reply.follower)
+        progress.acked_at = now
+        progress.acked_round = max(progress.acked_round, reply.round)
+        if reply.ok:
+            progress.match = max(progress.match, reply.match)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            self._advance_commit()
+        else:
+            progress.next_index = max(
+                progress.match + 1, min(reply.match + 1, self.store.last_index + 1)
+            )
+            progress.sent_through = 0
+        self._confirm()
+        behind = progress.next_index <= self.store.last_index
+        if behind and progress.sent_through < progress.next_index:
+            self._send_append(reply.follower)
+
+    # Leading
+
+    def _progress(self, identity: str) -> Progress:
+        progress = self._progress_by_id.get(identity)
+        if progress is None:
+            progress = Progress(next_index=self.store.last_index + 1)
+            self._progress_by_id[identity] = progress
+        return progress
+
+    def broadcast(self, now: datetime.timedelta) -> None:
+        """Sends every member what it lacks, or a heartbeat."""
+        self._heartbeat_due = now + self.timing.heartbeat
+        self._round += 1
+        self._round_started[self._round] = (now, self.commit)
+        members = self.members
+        for identity in (*members.voters, *members.learners):
+            if identity != self.identity:
+                self._progress(identity).sent_through = 0
+                self._send_append(identity)
+        self._confirm()
+
+    def _send_append(self, identity: str) -> None:
+        progress = self._progress(identity)
+        previous = progress.next_index - 1
+        if previous < self.store.snapshot.index:
+            self._send_snapshot(identity, progress)
+            return
+        entries = self.store.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
+        if entries:
+            progress.sent_through = entries[-1].index
+        message = Append(
+            term=self.store.term,
+            leader=self.identity,
+            previous_index=previous,
+            previous_term=typing.cast(int, self.store.term_at(previous)),
+            entries=[entry.to_wire() for entry in entries],
+            commit=self.commit,
+            round=self._round,
+        )
+        self.outbox.append((identity, message))
+
+    def _send_snapshot(self, identity: str, progress: Progress) -> None:
+        snapshot = self.store.snapshot
+        progress.sent_through = snapshot.index
+        message = InstallSnapshot(
+            term=self.store.term,
+            leader=self.identity,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            members=snapshot.members,
+            state=snapshot.state,
+            round=self._round,
+        )
+        self.outbox.append((identity, message))
+
+    def _append(self, kind: str, body: typing.Any) -> int:
+        entry = journal.Entry(self.store.last_index + 1, self.store.term, kind, body)
+        self.store.append(entry)
+        return entry.index
+
+    def synced(self) -> None:
+        """Tells the replica that its journal is durable, so that its own copy counts."""
+        if self.role == "leader":
+            self._progress(self.identity).match = self.store.last_index
+            self._advance_commit()
+
+    def _advance_commit(self) -> None:
+        members = self.members
+        matches = sorted(
+            (self._progress(identity).match for identity in members.voters), reverse=True
+        )
+        if len(matches) < members.quorum:
+            return
+        index = matches[members.quorum - 1]
+        # Only an entry of the present term commits by count; earlier ones commit with it.
+        if index > self.commit and self.store.term_at(index) == self.store.term:
+            self.commit = index
+
+    def _confirm(self) -> None:
+        """Moves the confirmation to the latest broadcast that a quorum has answered."""
+        members = self.members
+        rounds = sorted(
+            (
+                self._round if identity == self.identity else self._progress(identity).acked_round
+                for identity in members.voters
+            ),
+            reverse=True,
+        )
+        reached = rounds[members.quorum - 1] if len(rounds) >= members.quorum else 0
+        for number in [n for n in self._round_started if n <= reached]:
+            started, index = self._round_started.pop(number)
+            if self.store.term_at(index) != self.store.term:
+                continue
+            if self.confirmation is None or started >= self.confirmation.as_of:
+                self.confirmation = Confirmation(index, started)
+
+    def propose(self, body: typing.Any, now: datetime.timedelta) -> tuple[int, int]:
+        """Adds a command to the log.
+
+        Returns:
+            Index and term of the entry; it counts once it is committed in that term.
+
+        Raises:
+            errors.NotLeaderError: This replica does not lead.
+        """
+        self._require_leader()
+        index = self._append("command", body)
+        self._heartbeat_due = now
+        return index, self.store.term
+
+    def propose_members(self, members: Members, now: datetime.timedelta) -> tuple[int, int]:
+        """Changes the membership by at most one voter.
+
+        Raises:
+            errors.NotLeaderError: This replica does not lead.
+            errors.UnavailableError: An earlier membership change, or this leader's first entry,
+                is not committed yet, or a new voter has not caught up.
+            errors.InvalidInputError: More than one voter would change, or none would be left.
+        """
+        self._require_leader()
+        if (
+            self._members_index() > self.commit
+            or self.store.term_at(self.commit) != self.store.term
+        ):
+            raise errors.UnavailableError(
+                "an earlier membership change is not committed yet", step="change members"
+            )
+        added = members.voters.keys() - self.members.voters.keys()
+        removed = self.members.voters.keys() - members.voters.keys()
+        if len(added) + len(removed) > 1 or not members.voters:
+            raise errors.InvalidInputError(
+                "a membership change adds or removes one voter", step="change members"
+            )
+        if any(self._progress(identity).match < self.commit for identity in added):
+            raise errors.UnavailableError(
+                "the new member has not caught up yet", step="change members"
+            )
+        index = self._append("members", members.to_wire())
+        self._heartbeat_due = now
+        return index, self.store.term
+
+    def _require_leader(self) -> None:
+        if self.role != "leader":
+            raise errors.NotLeaderError(
+                "this control instance does not lead",
+                leader=self.members.address_of(self.leader),
+                step="propose",
+            )
+
+    def compact(self, index: int, state: typing.Any) -> None:
+        """Replaces the log up to a committed index by a snapshot of the state there."""
+        members = self.store.snapshot.members
+        for entry in self.store.entries:
+            if entry.kind == "members" and entry.index <= index:
+                members = entry.body
+        term = typing.cast(int, self.store.term_at(index))
+        self.store.compact(journal.Snapshot(index, term, members, state))
--- /dev/null
+++ b/flamingotiller/server.py
@@ -0,0 +1,429 @@
+"""HTTP server: accepts connections within bounds, hands each request to a handler and keeps the
+rules of HTTP/1.1 towards the peer whatever the handler does."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import typing
+import urllib.parse
+
+import h11
+import orjson
+
+from flamingotiller import clock, errors, wire
+
+STATUS_PHRASES = {
+    200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
+    403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 421: b"Misdirected Request",
+    429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
+    503: b"Service Unavailable", 504: b"Gateway Timeout",
+}  # fmt: skip
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What one peer may take of a server.
+
+    Attributes:
+        connections: Open connections at once; further ones are closed at once.
+        head_timeout: For a request's head, from the first byte of waiting.
+        idle_timeout: For the next request on a kept connection.
+        read_timeout: For the next piece of a body.
+        body_bytes: Largest body of a request.
+    """
+
+    connections: int = 12_000
+    head_timeout: datetime.timedelta = clock.seconds(10)
+    idle_timeout: datetime.timedelta = clock.seconds(75)
+    read_timeout: datetime.timedelta = clock.seconds(10)
+    body_bytes: int = 8 * 1024 * 1024
+
+
+class Request:
+    """A request whose head has been read and whose body may still be coming.
+
+    Attributes:
+        method: Upper-case method.
+        target: Request target as sent.
+        path: Decoded path without the query.
+        query: First value of each query parameter by name.
+        headers: Pairs of lower-case name and value.
+        peer: Address of the caller.
+    """
+
+    def __init__(self, head: h11.Request, link: wire.Link, bounds: Bounds) -> None:
+        self.method = head.method.decode("ascii")
+        self.target = head.target.decode("ascii")
+        split = urllib.parse.urlsplit(self.target)
+        self.raw_path = split.path
+        self.path = urllib.parse.unquote(split.path)
+        self.query = dict(urllib.parse.parse_qsl(split.query))
+        self.headers = list(head.headers)
+        self.peer = link.peer
+        self._link = link
+        self._bounds = bounds
+        self._received = 0
+        self.body_ended = False
+
+    def header(self, name: str) -> str | None:
+        """Returns the first value of a header, or None."""
+        return wire.header(self.headers, name.lower().encode("ascii"))
+
+    def declared_length(self) -> int | None:
+        """Returns the body length that the head declares, None when chunked."""
+        value = self.header("content-length")
+        if value is not None:
+            return int(value)
+        return None if self.header("transfer-encoding") else 0
+
+    async def next_chunk(self) -> bytes:
+        """Returns the next piece of the body, empty at its end.
+
+        Raises:
+            errors.LimitExceededError: The body is longer than allowed or comes too slowly.
+            errors.TransportError: The connection failed.
+        """
+        if self.body_ended:
+            return b""
+        if self._link.h11.they_are_waiting_for_100_continue:
+            await self._link.send(
+                h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
+            )
+        while True:
+            try:
+                event = await self._link.next_event(self._bounds.read_timeout)
+            except errors.ExchangeTimeoutError as error:
+                raise errors.LimitExceededError(
+                    "body came too slowly", status=408, step="read body", peer=self.peer
+                ) from error
+            if isinstance(event, h11.EndOfMessage):
+                self.body_ended = True
+                return b""
+            self._received += len(event.data)
+            if self._received > self._bounds.body_bytes:
+                raise errors.LimitExceededError(
+                    "body is too large", status=413, step="read body", peer=self.peer
+                )
+            if event.data:
+                return bytes(event.data)
+
+    async def read(self) -> bytes:
+        """Returns the rest of the body."""
+        parts = []
+        while chunk := await self.next_chunk():
+            parts.append(chunk)
+        return b"".join(parts)
+
+    async def read_json(self) -> typing.Any:
+        """Returns the body decoded as JSON.
+
+        Raises:
+            errors.InvalidInputError: The body is not JSON.
+        """
+        body = await self.read()
+        try:
+            return orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise errors.InvalidInputError(
+                f"body is not JSON: {error}", step="read body", peer=self.peer
+            ) from error
+
+
+class Reply:
+    """The answer to one request; started once, finished once."""
+
+    def __init__(self, link: wire.Link, method: str) -> None:
+        self._link = link
+        self._head_only = method == "HEAD"
+        self.started = False
+        self.finished = False
+        self.status = 0
+        self.close_after = False
+
+    async def start(
+        self, status: int, headers: collections.abc.Sequence[tuple[bytes, bytes]] = ()
+    ) -> None:
+        """Sends the head."""
+        self._mark_started(status)
+        await self._link.send(self._head(status, headers))
+
+    async def write(self, data: bytes) -> None:
+        """Sends a piece of the body and waits while the peer is too slow."""
+        if data and not self._head_only:
+            await self._link.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """Ends the answer."""
+        self.finished = True
+        await self._link.send(h11.EndOfMessage())
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Sends a whole answer in one write."""
+        self._mark_started(status)
+        self.finished = True
+        full = [*headers]
+        if status != 204:
+            full.append((b"content-length", b"%d" % len(body)))
+        events: list[h11.Event] = [self._head(status, full)]
+        if body and not self._head_only and status != 204:
+            events.append(h11.Data(data=body))
+        await self._link.send(*events, h11.EndOfMessage())
+
+    async def json(
+        self,
+        status: int,
+        value: typing.Any,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Sends a JSON document."""
+        body = orjson.dumps(value)
+        await self.send(status, body, [(b"content-type", b"application/json"), *headers])
+
+    def _mark_started(self, status: int) -> None:
+        self.started = True
+        self.status = status
+
+    def _head(self, status: int, headers) -> h11.Response:
+        if self.close_after:
+            headers = [*headers, (b"connection", b"close")]
+        reason = STATUS_PHRASES.get(status, b"")
+        return h11.Response(status_code=status, headers=list(headers), reason=reason)
+
+
+Handler = collections.abc.Callable[[Request, Reply], collections.abc.Awaitable[None]]
+
+
+async def send_error(reply: Reply, error: errors.FlamingotillerError) -> None:
+    """Answers a request with an error document, its status by the kind of error."""
+    body: dict[str, typing.Any] = {
+        "error": type(error).__name__.removesuffix("Error"),
+        "message": error.message,
+        "step": error.step,
+    }
+    if isinstance(error, errors.InvalidInputError):
+        body["faults"] = list(error.faults)
+    if isinstance(error, errors.ConflictError):
+        body["winner"] = error.winner
+    if isinstance(error, errors.NotLeaderError):
+        body["leader"] = error.leader
+    await reply.json(_status_of(error), body)
+
+
+def _status_of(error: errors.FlamingotillerError) -> int:
+    if isinstance(error, errors.LimitExceededError):
+        return error.status
+    for kind, status in _STATUS_BY_ERROR.items():
+        if isinstance(error, kind):
+            return status
+    return 500
+
+
+_STATUS_BY_ERROR: dict[type[Exception], int] = {
+    errors.InvalidInputError: 400,
+    errors.UnauthenticatedError: 401,
+    errors.NotFoundError: 404,
+    errors.ConflictError: 409,
+    errors.NotLeaderError: 421,
+    errors.UnavailableError: 503,
+    errors.StorageError: 503,
+    errors.TransportError: 502,
+}
+
+
+class Server:
+    """Listens on one address and serves requests one after another on each connection.
+
+    Args:
+        handler: Called with each request.
+        bounds: Limits towards peers.
+        on_fault: Called with an exception that a handler let escape.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        bounds: Bounds | None = None,
+        on_fault: collections.abc.Callable[[BaseException, str], None] | None = None,
+    ) -> None:
+        self._handler = handler
+        self._bounds = bounds or Bounds()
+        self._on_fault = on_fault
+        self._server: asyncio.Server | None = None
+        self._task_by_link: dict[wire.Link, asyncio.Task[None]] = {}
+        self._busy: set[wire.Link] = set()
+        self._closing = False
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections."""
+        return len(self._task_by_link)
+
+    @property
+    def request_count(self) -> int:
+        """Requests that are being served."""
+        return len(self._busy)
+
+    async def start(self, host: str, port: int) -> int:
+        """Starts listening.
+
+        Returns:
+            The port, which differs from the one asked for when that was 0.
+
+        Raises:
+            errors.SettingsError: The address cannot be bound.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            self._server = await loop.create_server(self._make_link, host, port, backlog=1024)
+        except OSError as error:
+            raise errors.SettingsError(
+                f"cannot listen on {host}:{port}: {error.strerror}", step="listen"
+            ) from error
+        return self._server.sockets[0].getsockname()[1]
+
+    def _make_link(self) -> wire.Link:
+        return wire.Link(h11.SERVER, on_open=self._open, on_lost=self._lost)
+
+    def _open(self, link: wire.Link) -> None:
+        if len(self._task_by_link) >= self._bounds.connections:
+            link.abort()
+            return
+        task = asyncio.get_running_loop().create_task(self._serve(link))
+        self._task_by_link[link] = task
+        task.add_done_callback(lambda _: self._task_by_link.pop(link, None))
+
+    def _lost(self, link: wire.Link) -> None:
+        # The caller has gone: cancelling the handler cancels its work further down.
+        task = self._task_by_link.get(link)
+        if task and link in self._busy:
+            task.cancel()
+
+    async def _serve(self, link: wire.Link) -> None:
+        timeout = self._bounds.head_timeout
+        try:
+            while not self._closing and await self._serve_one(link, timeout):
+                timeout = self._bounds.idle_timeout
+        except (errors.FlamingotillerError, asyncio.CancelledError):
+            link.abort()
+        except Exception as error:  # noqa: BLE001 - a fault in one request ends only that one
+            link.abort()
+            if self._on_fault:
+                self._on_fault(error, link.peer)
+        finally:
+            self._busy.discard(link)
+            link.close()
+
+    async def _serve_one(self, link: wire.Link, timeout: datetime.timedelta) -> bool:
+        """Serves one request; returns whether the connection can serve another."""
+        try:
+            head = await link.next_event(timeout)
+        except errors.ProtocolError as error:
+            await self._refuse_head(link, error)
+            return False
+        except errors.TransportError:
+            return False
+        if not isinstance(head, h11.Request):
+            return False
+        self._busy.add(link)
+        reply = Reply(link, head.method.decode("ascii"))
+        reply.close_after = self._closing
+        await self._handle(head, link, reply)
+        self._busy.discard(link)
+        if not reply.finished:
+            link.abort()
+            return False
+        return self._recycle(link)
+
+    async def _handle(self, head: h11.Request, link: wire.Link, reply: Reply) -> None:
+        try:
+            request = Request(head, link, self._bounds)
+            check_framing(request)
+            await self._handler(request, reply)
+            if reply.finished and not request.body_ended and request.declared_length() == 0:
+                await request.next_chunk()
+        except errors.FlamingotillerError as error:
+            if reply.started:
+                raise
+            reply.close_after = True
+            await send_error(reply, error)
+        except ValueError as error:
+            if reply.started:
+                raise
+            reply.close_after = True
+            await send_error(reply, errors.InvalidInputError(str(error), step="read head"))
+
+    def _recycle(self, link: wire.Link) -> bool:
+        if link.h11.our_state is not h11.DONE or link.h11.their_state is not h11.DONE:
+            return False
+        with contextlib.suppress(h11.ProtocolError):
+            link.h11.start_next_cycle()
+            return True
+        return False
+
+    async def _refuse_head(self, link: wire.Link, error: errors.ProtocolError) -> None:
+        cause = error.__cause__
+        status = getattr(cause, "error_status_hint", 400)
+        if link.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        reply = Reply(link, "GET")
+        reply.close_after = True
+        with contextlib.suppress(errors.TransportError):
+            await send_error(
+                reply, errors.LimitExceededError(error.message, status=status, step="read head")
+            )
+
+    def announce_close(self) -> None:
+        """Makes every further answer carry ``Connection: close`` and ends idle connections."""
+        self._closing = True
+        for link in list(self._task_by_link):
+            if link not in self._busy:
+                link.close()
+
+    def stop_listening(self) -> None:
+        """Accepts no further connections."""
+        if self._server:
+            self._server.close()
+
+    async def close(self, grace: datetime.timedelta = clock.ZERO) -> None:
+        """Stops listening, waits up to ``grace`` for requests under way, then ends the rest."""
+        self.stop_listening()
+        self.announce_close()
+        tasks = list(self._task_by_link.values())
+        if tasks and grace > clock.ZERO:
+            await asyncio.wait(tasks, timeout=grace.total_seconds())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def check_framing(request: Request) -> None:
+    """Refuses requests whose framing two parties could read in different ways.
+
+    Raises:
+        errors.InvalidInputError: Conflicting or repeated framing headers, or a bad target.
+    """
+    names = [name for name, _ in request.headers]
+    both = b"content-length" in names and b"transfer-encoding" in names
+    repeated = names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1
+    if both or repeated:
+        raise errors.InvalidInputError(
+            "ambiguous framing headers", step="read head", peer=request.peer
+        )
+    if not request.target.startswith("/"):
+        raise errors.InvalidInputError(
+            "the target must be an absolute path", step="read head", peer=request.peer
+        )
+    if names.count(b"host") > 1:
+        raise errors.InvalidInputError("repeated host", step="read head", peer=request.peer)
--- /dev/null
+++ b/flamingotiller/shards.py
@@ -0,0 +1,219 @@
+"""Who holds which shard of a zone's work: the task that takes and renews leases, and the way for
+a message to the holder of a shard."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import typing
+
+from flamingotiller import client, clock, errors, events, lease
+
+if typing.TYPE_CHECKING:
+    from flamingotiller import entry
+
+TIMEOUT = clock.seconds(0.5)
+MAX_HOPS = 3
+
+
+class Shards:
+    """The leases of an entry instance, as a voter and as a holder.
+
+    Args:
+        process: The entry instance.
+    """
+
+    def __init__(self, process: entry.EntryInstance) -> None:
+        self._process = process
+        self._duration: datetime.timedelta = process.config.lease
+        self.voter = lease.Voter(process.clock.monotonic(), self._duration)
+        self._holder = lease.Holder(process.config.instance, self._duration)
+        self._held: set[int] = set()
+        self._warned = False
+
+    @property
+    def held(self) -> set[int]:
+        """Shards held as of the last round, for metrics."""
+        return self._held
+
+    def seats(self) -> tuple[str, ...]:
+        """Returns the seats of this zone, none before a deployment is in force."""
+        deployment = self._process.feed.view.deployment
+        zone = deployment.zones_by_name.get(self._process.config.zone) if deployment else None
+        return zone.seats if zone else ()
+
+    def holds(self, shard: int) -> bool:
+        """Returns whether this instance holds a shard now."""
+        return self._holder.holds(shard, self.seats(), self._process.clock.monotonic())
+
+    async def run(self) -> None:
+        """Renews leases four times within their length."""
+        while True:
+            await self._renew()
+            await asyncio.sleep((self._duration / 4).total_seconds())
+
+    async def _renew(self) -> None:
+        if self._process.config.instance not in self.seats():
+            self._warn()
+            return
+        wanted = self._wanted()
+        for shard in [shard for shard in range(lease.SHARDS) if self.holds(shard)]:
+            if shard not in wanted and not self._stays(shard):
+                await self.release([shard])
+        if wanted:
+            await self._ask(sorted(wanted))
+        self._note_changes()
+
+    def _warn(self) -> None:
+        if self.seats() and not self._warned:
+            self._warned = True
+            config = self._process.config
+            events.emit(events.SEAT_MISMATCH, instance=config.instance, zone=config.zone)
+
+    def _candidates(self, shard: int) -> list[str]:
+        now = self._process.clock.monotonic()
+        drained = self._process.feed.view.drained
+        names = [
+            member.instance
+            for member in self._process.table.live(now)
+            if not member.leaving and ("instance", member.instance) not in drained
+        ]
+        lapsed = self.voter.lapsed_holder(shard, now)
+        # A holder that let its lease run out is gone before membership notices.
+        if lapsed in names and lapsed != self._process.config.instance and len(names) > 1:
+            names.remove(lapsed)
+        return [name for name in names if name in self.seats()]
+
+    def _wanted(self) -> set[int]:
+        own = self._process.config.instance
+        if self._process.stopping:
+            return set()
+        wanted = set()
+        for shard in range(lease.SHARDS):
+            candidates = self._candidates(shard)
+            first = candidates and lease.preferred(shard, candidates) == own
+            if first or (self.holds(shard) and self._stays(shard)):
+                wanted.add(shard)
+        return wanted
+
+    def _stays(self, shard: int) -> bool:
+        """Returns whether a held shard is kept: nobody better has been there for long enough."""
+        return not self._process.stopping and not self._candidates(shard)
+
+    async def _ask(self, shards: list[int]) -> None:
+        own = self._process.table.own
+        body = {"holder": own.instance, "epoch": own.epoch, "shards": shards}
+        sent = self._process.clock.monotonic()
+        granted = self.voter.ask(shards, own.instance, own.epoch, sent)
+        self._holder.on_granted(own.instance, granted, sent)
+        await asyncio.gather(
+            *(self._ask_voter(name, address, body) for name, address in self._other_voters())
+        )
+
+    def _other_voters(self) -> list[tuple[str, str]]:
+        members = self._process.table.member_by_instance
+        own = self._process.config.instance
+        return [
+            (seat, members[seat].address)
+            for seat in self.seats()
+            if seat != own and seat in members
+        ]
+
+    async def _ask_voter(self, name: str, address: str, body: dict[str, typing.Any]) -> None:
+        sent = self._process.clock.monotonic()
+        try:
+            answer = await self._process.client.call(
+                address, "POST", "/v1/lease", body, timeout=TIMEOUT
+            )
+            document = client.raise_for_status(answer, step="lease", peer=address)
+            if document["voter"] == name:
+                granted = set(map(int, document["granted"])) & set(body["shards"])
+                self._holder.on_granted(name, granted, sent)
+        except (errors.FlamingotillerError, KeyError, TypeError, ValueError):
+            return
+
+    async def release(self, shards: list[int]) -> None:
+        """Gives shards up and tells the voters."""
+        own = self._process.table.own
+        for shard in shards:
+            self._holder.release(shard)
+        self._note_changes()
+        self.voter.release(shards, own.instance, own.epoch)
+        body = {"holder": own.instance, "epoch": own.epoch, "shards": shards, "release": True}
+        calls = (
+            self._process.client.call(address, "POST", "/v1/lease", body, timeout=TIMEOUT)
+            for _, address in self._other_voters()
+        )
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    async def release_all(self) -> None:
+        """Gives up every shard, before a stop."""
+        await self.release([shard for shard in range(lease.SHARDS) if self.holds(shard)])
+
+    def _note_changes(self) -> None:
+        held = {shard for shard in range(lease.SHARDS) if self.holds(shard)}
+        for shard in sorted(held - self._held):
+            events.emit(events.LEASE_TAKEN, shard=shard)
+        for shard in sorted(self._held - held):
+            events.emit(events.LEASE_LOST, shard=shard)
+            self._process.on_shard_lost(shard)
+        self._held = held
+
+    def on_lease(self, body: typing.Any) -> dict[str, typing.Any]:
+        """Answers an instance that asks for shards or gives them up.
+
+        Raises:
+            errors.InvalidInputError: The request is malformed.
+        """
+        try:
+            shards = [int(shard) for shard in body["shards"]]
+            holder, epoch = str(body["holder"]), int(body["epoch"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.InvalidInputError(f"bad lease request: {error}", step="lease") from error
+        if not all(0 <= shard < lease.SHARDS for shard in shards):
+            raise errors.InvalidInputError("no such shard", step="lease")
+        own = self._process.config.instance
+        if body.get("release"):
+            self.voter.release(shards, holder, epoch)
+            return {"voter": own, "granted": []}
+        # Only seats vote and only seats hold, or majorities of different sets could differ.
+        if own not in self.seats() or holder not in self.seats():
+            return {"voter": own, "granted": []}
+        now = self._process.clock.monotonic()
+        return {"voter": own, "granted": self.voter.ask(shards, holder, epoch, now)}
+
+    def holder_address(self, shard: int) -> str | None:
+        """Returns the address of the instance that most likely holds a shard.
+
+        None means this instance itself; an empty text that nobody is known.
+        """
+        if self.holds(shard):
+            return None
+        now = self._process.clock.monotonic()
+        members = self._process.table.member_by_instance
+        name = self.voter.holder_of(shard, now)
+        if name is None or name == self._process.config.instance or name not in members:
+            candidates = self._candidates(shard)
+            name = lease.preferred(shard, candidates) if candidates else None
+        if name is None or name == self._process.config.instance or name not in members:
+            return ""
+        return members[name].address
+
+    async def ask_holder(
+        self,
+        shard: int,
+        path: str,
+        body: dict[str, typing.Any],
+        timeout: datetime.timedelta,
+    ) -> typing.Any:
+        """Sends a message to the holder of a shard.
+
+        Raises:
+            errors.UnavailableError: Nobody is known to hold it.
+            errors.TransportError: The holder did not answer.
+        """
+        address = self.holder_address(shard)
+        if not address:
+            raise errors.UnavailableError("nobody holds the shard", step=path)
+        answer = await self._process.client.call(address, "POST", path, body, timeout=timeout)
+        return client.raise_for_status(answer, step=path, peer=address)
--- /dev/null
+++ b/flamingotiller/subscription.py
@@ -0,0 +1,93 @@
+"""The task by which an entry instance follows the configuration; see ``flamingotiller.feed``."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from flamingotiller import client, clock, errors, events, feed
+
+if typing.TYPE_CHECKING:
+    from flamingotiller import entry
+
+RETRY_DELAY = clock.seconds(0.1)
+TIMEOUT_MARGIN = clock.seconds(0.5)
+CATCH_UP_TIMEOUT = clock.seconds(1)
+
+
+class Subscription:
+    """Follows one source and changes it when it fails or falls behind.
+
+    Args:
+        process: The entry instance.
+    """
+
+    def __init__(self, process: entry.EntryInstance) -> None:
+        self._process = process
+        self._failures = 0
+        self._fresh = False
+
+    async def run(self) -> None:
+        """Follows the configuration."""
+        while True:
+            sources = self._sources()
+            source = sources[self._failures % len(sources)]
+            if await self._follow(source):
+                self._failures = 0
+            else:
+                self._failures += 1
+                await asyncio.sleep(RETRY_DELAY.total_seconds())
+            self._note_freshness()
+
+    def _sources(self) -> list[str]:
+        now = self._process.clock.monotonic()
+        live = self._process.table.live(now)
+        sources = feed.choose_sources(
+            self._process.config.instance,
+            [(member.instance, member.address) for member in live],
+            self._process.config.control,
+        )
+        # After failures the newest version known in the zone is worth more than the order.
+        ahead = [m for m in live if m.version > self._process.feed.version]
+        if self._failures and ahead:
+            newest = max(ahead, key=lambda member: member.version)
+            sources.insert(self._failures % (len(sources) + 1), newest.address)
+        return sources
+
+    async def _follow(self, source: str) -> bool:
+        process = self._process
+        sent = process.clock.monotonic()
+        # The first answer after a failure is asked for at once: there may be no news for long.
+        at_once = self._failures > 0 or process.feed.version == 0
+        timeout = CATCH_UP_TIMEOUT if at_once else feed.HOLD_TIMEOUT + TIMEOUT_MARGIN
+        held = process.feed.version
+        try:
+            answer = await process.client.call(
+                source, "POST", "/v1/feed", process.feed.subscription(now=at_once), timeout=timeout
+            )
+            document = client.raise_for_status(answer, step="feed", peer=source)
+            taken = process.feed.take(document, sent, source)
+        except errors.FlamingotillerError as error:
+            events.emit(events.FEED_FAILED, peer=source, error=error)
+            return False
+        if not taken:
+            events.emit(
+                events.VERSION_REFUSED,
+                offered=document.get("version"),
+                held=process.feed.version,
+                peer=source,
+            )
+            return False
+        if process.feed.version != held:
+            events.emit(events.VERSION_IN_FORCE, version=process.feed.version, source=source)
+        # A source that is not fresh itself is left for one that is.
+        return process.feed.is_fresh(process.config.freshness_bound / 2) or not at_once
+
+    def _note_freshness(self) -> None:
+        fresh = self._process.feed.is_fresh(self._process.config.freshness_bound)
+        if fresh == self._fresh:
+            return
+        self._fresh = fresh
+        age = self._process.feed.age()
+        shown = "none" if age is None else f"{age.total_seconds():.3f}"
+        events.emit(events.FRESHNESS_BACK if fresh else events.FRESHNESS_LOST, age_s=shown)
--- /dev/null
+++ b/flamingotiller/wire.py
@@ -0,0 +1,201 @@
+"""One HTTP/1.1 connection over asyncio with h11: framing, flow control and bounds, for either
+side. The task that uses a link owns it; nobody else reads from or writes to it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import datetime
+import typing
+
+import h11
+
+from flamingotiller import errors
+
+MAX_HEAD_BYTES = 16 * 1024
+READ_HIGH_WATER_BYTES = 256 * 1024
+WRITE_HIGH_WATER_BYTES = 256 * 1024
+
+
+class Link(asyncio.Protocol):
+    """A transport joined to an h11 state machine.
+
+    Args:
+        role: ``h11.CLIENT`` or ``h11.SERVER``.
+        on_open: Called with the link once the transport is up.
+        on_lost: Called once when the peer closes or the connection breaks.
+    """
+
+    def __init__(
+        self,
+        role: typing.Any,
+        *,
+        on_open: collections.abc.Callable[[Link], None] | None = None,
+        on_lost: collections.abc.Callable[[Link], None] | None = None,
+    ) -> None:
+        self.h11 = h11.Connection(our_role=role, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.peer = ""
+        self.lost = False
+        self.bytes_written = 0
+        self.bytes_read = 0
+        self._on_open = on_open
+        self._on_lost = on_lost
+        self._transport: asyncio.Transport | None = None
+        self._unread_bytes = 0
+        self._paused = False
+        self._read_waiter: asyncio.Future[None] | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+
+    @property
+    def transport(self) -> asyncio.Transport:
+        """The transport; only valid once the link is open."""
+        assert self._transport is not None
+        return self._transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport; part of ``asyncio.Protocol``."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        name = transport.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if name else ""
+        if self._on_open:
+            self._on_open(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Buffers what the peer sent; part of ``asyncio.Protocol``."""
+        self.bytes_read += len(data)
+        self.h11.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > READ_HIGH_WATER_BYTES and not self._paused:
+            self._paused = True
+            self.transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Treats a half-closed connection as closed; part of ``asyncio.Protocol``."""
+        if not self.lost:
+            self.h11.receive_data(b"")
+        self._mark_lost()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wakes whoever waits on the link; part of ``asyncio.Protocol``."""
+        self._mark_lost()
+        self._write_paused = False
+        if self._write_waiter and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Notes that the peer reads too slowly; part of ``asyncio.Protocol``."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Lets the writer go on; part of ``asyncio.Protocol``."""
+        self._write_paused = False
+        if self._write_waiter and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def _mark_lost(self) -> None:
+        if self.lost:
+            return
+        self.lost = True
+        self._wake_reader()
+        if self._on_lost:
+            self._on_lost(self)
+
+    def _wake_reader(self) -> None:
+        if self._read_waiter and not self._read_waiter.done():
+            self._read_waiter.set_result(None)
+
+    async def next_event(self, timeout: datetime.timedelta) -> typing.Any:
+        """Reads the next h11 event.
+
+        Args:
+            timeout: How long the peer may stay silent.
+
+        Returns:
+            An h11 event, or ``h11.PAUSED``.
+
+        Raises:
+            errors.ExchangeTimeoutError: The peer stayed silent.
+            errors.ConnectionLostError: The connection ended inside a message.
+            errors.ProtocolError: The peer sent something that is not valid HTTP/1.1.
+        """
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                if self.lost:
+                    raise errors.ConnectionLostError(str(error), peer=self.peer) from error
+                raise errors.ProtocolError(str(error), peer=self.peer) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if self.lost:
+                raise errors.ConnectionLostError("connection ended", peer=self.peer)
+            await self._wait_readable(timeout)
+
+    async def _wait_readable(self, timeout: datetime.timedelta) -> None:
+        self._unread_bytes = 0
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
+        loop = asyncio.get_running_loop()
+        waiter = self._read_waiter = loop.create_future()
+        # A timer and a bare future cost half of asyncio.timeout on this path.
+        timer = loop.call_later(timeout.total_seconds(), _expire, waiter)
+        try:
+            await waiter
+        except errors.ExchangeTimeoutError as error:
+            error.peer = self.peer
+            raise
+        finally:
+            timer.cancel()
+            self._read_waiter = None
+
+    async def send(self, *events: h11.Event) -> None:
+        """Writes events in one go and waits while the peer is too slow.
+
+        Raises:
+            errors.ConnectionLostError: The connection is gone.
+            errors.ProtocolError: The events do not fit the state of the connection.
+        """
+        if self.lost:
+            raise errors.ConnectionLostError("connection ended", peer=self.peer)
+        try:
+            data = b"".join(self.h11.send(event) or b"" for event in events)
+        except h11.LocalProtocolError as error:
+            raise errors.ProtocolError(str(error), step="send", peer=self.peer) from error
+        self.bytes_written += len(data)
+        self.transport.write(data)
+        while self._write_paused and not self.lost:
+            self._write_waiter = asyncio.get_running_loop().create_future()
+            await self._write_waiter
+
+    def close(self) -> None:
+        """Closes after what was written has been sent."""
+        if self._transport:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes at once, so that a partial message cannot pass for a whole one."""
+        if self._transport:
+            self._transport.abort()
+
+
+def _expire(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_exception(errors.ExchangeTimeoutError("peer stayed silent", step="read"))
+
+
+def header(headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
+    """Returns the first value of a header, or None.
+
+    Args:
+        headers: Pairs with lower-case names, as h11 gives them.
+        name: Lower-case name.
+    """
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
--- /dev/null
+++ b/tests/test_embedded.py
@@ -0,0 +1,72 @@
+"""The whole path in one process: look-up, keyed request, endpoint, answer."""
+
+import asyncio
+
+from flamingotiller import caller, clock, embedded
+
+CONTRACT = {
+    "organisation": "growers",
+    "rate": 200.0,
+    "burst": 400.0,
+    "routes": [
+        {"name": "search", "path": "/names", "service": "search", "idempotent": True},
+        {"name": "file", "path": "/filings", "service": "search", "methods": ["POST"]},
+        {"name": "open", "path": "/open", "service": "search", "access": "open"},
+    ],
+}
+
+
+async def configure(fleet):
+    async with fleet.operator() as operator:
+        await operator.change("deployment/main", fleet.deployment(), 0)
+        await operator.change("contract/growers", CONTRACT, 0)
+        key, verdict = await operator.give_key("growers")
+        waiting = await operator.wait(verdict.to_version, clock.seconds(10))
+        assert waiting.done, waiting
+    return key
+
+
+async def until_served(sender, target="/names"):
+    for _ in range(100):
+        answer = await sender.send("GET", target)
+        if answer.status == 200:
+            return answer
+        await asyncio.sleep(0.1)
+    raise AssertionError((answer.status, answer.body))
+
+
+def test_request_is_served_end_to_end():
+    async def scenario():
+        plan = embedded.Plan({"z1": "r1", "z2": "r2"}, services=("search",))
+        async with embedded.running(plan) as fleet:
+            key = await configure(fleet)
+            seeds = [instance.address for instance in fleet.entries]
+            sender = caller.Caller(seeds, "growers", key, clock.SystemClock())
+            answer = await until_served(sender)
+            assert answer.json()["target"] == "/names"
+            request_id = await sender.new_id()
+            first = await sender.send("POST", "/filings", b"x", request_id=request_id)
+            again = await sender.send("POST", "/filings", b"x", request_id=request_id)
+            assert (first.status, again.status) == (200, 200), (first, again)
+            assert first.body == again.body
+            chosen = await sender.send("POST", "/filings", b"x", request_id="mine-1")
+            chosen_again = await sender.send("POST", "/filings", b"x", request_id="mine-1")
+            assert chosen.status == 200, chosen
+            assert chosen_again.status == 200, chosen_again
+            runs = sum(
+                (endpoint.runs_by_id for endpoint in fleet.endpoints),
+                start=type(fleet.endpoints[0].runs_by_id)(),
+            )
+            assert runs[request_id] == 1
+            assert runs["mine-1"] == 1
+            for endpoint in fleet.endpoints:
+                for run in endpoint.runs:
+                    assert key not in str(run.headers)
+            wrong = caller.Caller(seeds, "growers", "growers.00000000.x", clock.SystemClock())
+            refused = await wrong.send("GET", "/names")
+            assert refused.status == 401
+            assert refused.json()["outcome"] == "not-run"
+            await sender.close()
+            await wrong.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
