--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -227,7 +227,7 @@
         bucket = self.bucket(organisation)
         try:
             if path == "/v1/tokens/settle":
-                bucket.settle(int(body["number"]))
+                bucket.settle(int(body["number"]), self._process.clock.monotonic())
                 return {}
             wanted = float(body["wanted"])
         except (KeyError, TypeError, ValueError) as error:
--- a/flamingotiller/limiter.py
+++ b/flamingotiller/limiter.py
@@ -63,7 +63,7 @@
         """Debits tokens for another place."""
 
     @abc.abstractmethod
-    def settle(self, number: int) -> None:
+    def settle(self, number: int, now: datetime.timedelta) -> None:
         """Notes that a transfer has arrived."""
 
     @abc.abstractmethod
@@ -140,8 +140,10 @@
             self._under_way[number] = (now + 2 * TRANSFER_LIFETIME, given)
         return Transfer(number, given)
 
-    def settle(self, number: int) -> None:
+    def settle(self, number: int, now: datetime.timedelta) -> None:
         """Notes that a transfer has arrived; later ones and unknown ones change nothing."""
+        # What the transfer kept from being refilled until now is not made up for.
+        self._refill(now)
         self._under_way.pop(number, None)
 
     def redeem(self, tokens: float, waiting: int, now: datetime.timedelta) -> int:
--- a/flamingotiller/membership.py
+++ b/flamingotiller/membership.py
@@ -12,6 +12,7 @@
 
 ADDRESSES_PER_ZONE = 4
 FRESH_ROUNDS = 3
+SILENT_TIMEOUTS = 10
 
 
 @dataclasses.dataclass
@@ -74,6 +75,9 @@
         self._summary_heard_at: dict[str, datetime.timedelta] = {}
         self._changed_round: dict[str, int] = {own.instance: 0}
         self._round = 0
+        # Forgotten members by name: epoch and beat at which they fell silent, and when to forget
+        # even that. Without it a member still held elsewhere would come back for ever.
+        self._silent_by_instance: dict[str, tuple[int, int, datetime.timedelta]] = {}
 
     def beat(self, version: int) -> None:
         """Raises this instance's counter; to be called once per round."""
@@ -104,7 +108,12 @@
             for name, member in self.member_by_instance.items()
             if member is not self.own and now - self._heard_at[name] > self.timeout
         ]
+        for name, (_, _, until) in list(self._silent_by_instance.items()):
+            if now >= until:
+                del self._silent_by_instance[name]
         for member in gone:
+            until = now + SILENT_TIMEOUTS * self.timeout
+            self._silent_by_instance[member.instance] = (member.epoch, member.beat, until)
             del self.member_by_instance[member.instance]
             del self._heard_at[member.instance]
             self._changed_round.pop(member.instance, None)
@@ -159,6 +168,9 @@
             self._outlive(record.epoch, record.address)
             return
         held = self.member_by_instance.get(record.instance)
+        silent = self._silent_by_instance.get(record.instance)
+        if silent and (record.epoch, record.beat) <= silent[:2]:
+            return
         if held is None or (record.epoch, record.beat) > (held.epoch, held.beat):
             news = held is None or _substance(held) != _substance(record)
             self.member_by_instance[record.instance] = record
@@ -175,7 +187,8 @@
     def _merge_beat(self, name: str, epoch: int, beat: int, now: datetime.timedelta) -> bool:
         held = self.member_by_instance.get(name)
         if held is None or epoch > held.epoch:
-            return name == self.own.instance
+            silent = self._silent_by_instance.get(name)
+            return name == self.own.instance or bool(silent and (epoch, beat) <= silent[:2])
         if held is not self.own and epoch == held.epoch and beat > held.beat:
             held.beat = beat
             self._heard_at[name] = now
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -208,6 +208,7 @@
         self.commit = store.snapshot.index
         self.outbox: list[tuple[str, Message]] = []
         self.confirmation: Confirmation | None = None
+        self._members_cache: tuple[int, Members] | None = None
         self._rng = rng
         self._votes: set[str] = set()
         self._pre_votes: set[str] = set()
@@ -227,17 +228,23 @@
     @property
     def members(self) -> Members:
         """The newest membership in the log, committed or not."""
-        for entry in reversed(self.store.entries):
-            if entry.kind == "members":
-                return Members(**entry.body)
-        held = self.store.snapshot.members
-        return Members(**held) if held else Members({})
+        return self._newest_members()[1]
 
     def _members_index(self) -> int:
+        return self._newest_members()[0]
+
+    def _newest_members(self) -> tuple[int, Members]:
+        # Read with every message, so it is kept until an entry that may change it comes or goes.
+        if self._members_cache is None:
+            self._members_cache = self._find_members()
+        return self._members_cache
+
+    def _find_members(self) -> tuple[int, Members]:
         for entry in reversed(self.store.entries):
             if entry.kind == "members":
-                return entry.index
-        return self.store.snapshot.index
+                return entry.index, Members(**entry.body)
+        held = self.store.snapshot.members
+        return self.store.snapshot.index, Members(**held) if held else Members({})
 
     @property
     def is_voter(self) -> bool:
@@ -282,6 +289,8 @@
 
     def _start_pre_vote(self, now: datetime.timedelta) -> None:
         self._reset_election_timer(now)
+        # A candidate whose election failed asks again from the start.
+        self.role = "follower"
         self.leader = ""
         self._pre_votes = {self.identity}
         if self._has_quorum(self._pre_votes):
@@ -432,6 +441,12 @@
                     f"entry {entry.index} contradicts a committed one", step="append"
                 )
             self.store.truncate(entry.index)
+            self._members_cache = None
+        self._append_entry(entry)
+
+    def _append_entry(self, entry: journal.Entry) -> None:
+        if entry.kind == "members":
+            self._members_cache = None
         self.store.append(entry)
 
     def _reply_append(self, leader: str, ok: bool, match: int, round_number: int) -> None:
@@ -450,6 +465,7 @@
                     message.index, message.snapshot_term, message.members, message.state
                 )
                 self.store.install(snapshot)
+                self._members_cache = None
                 self.commit = message.index
         self._reply_append(message.leader, True, message.index, message.round)
 
@@ -533,7 +549,7 @@
 
     def _append(self, kind: str, body: typing.Any) -> int:
         entry = journal.Entry(self.store.last_index + 1, self.store.term, kind, body)
-        self.store.append(entry)
+        self._append_entry(entry)
         return entry.index
 
     def synced(self) -> None:
@@ -633,3 +649,4 @@
                 members = entry.body
         term = typing.cast(int, self.store.term_at(index))
         self.store.compact(journal.Snapshot(index, term, members, state))
+        self._members_cache = None
--- a/flamingotiller/selection.py
+++ b/flamingotiller/selection.py
@@ -143,6 +143,7 @@
         spill: Whether it comes from another zone.
         permit: Set once granted.
         withdrawn: Whether it left the queue without a permit.
+        displaced: Whether it left the full queue for a request served before it.
         counted: Whether the death of its endpoint has been noted.
     """
 
@@ -156,6 +157,7 @@
     permit: Permit | None = None
     withdrawn: bool = False
     counted: bool = False
+    displaced: bool = False
 
 
 @dataclasses.dataclass
@@ -197,6 +199,7 @@
         self._numbers = itertools.count(1)
         self._station_by_permit: dict[int, _Station] = {}
         self._spill_ramp: shift.Ramp | None = None
+        self._displaced: list[Waiter] = []
 
     @property
     def waiting(self) -> int:
@@ -293,15 +296,31 @@
         """
         if waiter.spill:
             return self._ask_spill(waiter, now)
-        if self._waiting >= MAX_QUEUE_PER_SLOT * max(1, self.slots(now)):
-            return False
         started = max(self._virtual, self._finish_by_organisation.get(waiter.organisation, 0.0))
         finish = started + 1.0 / waiter.weight
+        full = self._waiting >= MAX_QUEUE_PER_SLOT * max(1, self.slots(now))
+        if full and not self._displace(finish):
+            return False
         self._finish_by_organisation[waiter.organisation] = finish
         heapq.heappush(self._heap, (finish, next(self._numbers), waiter))
         self._waiting += 1
         return True
 
+    def _displace(self, finish: float) -> bool:
+        """Makes room in a full queue for a request that would be served before the last one.
+
+        The last one belongs to the organisation that has sent most beyond its part, so that one
+        organisation cannot keep the others out by filling the queue.
+        """
+        live = [item for item in self._heap if not item[2].withdrawn]
+        last = max(live, key=lambda item: item[:2])
+        if last[0] <= finish:
+            return False
+        last[2].displaced = True
+        self.withdraw(last[2])
+        self._displaced.append(last[2])
+        return True
+
     def _ask_spill(self, waiter: Waiter, now: datetime.timedelta) -> bool:
         if self._waiting:
             return False
@@ -332,8 +351,8 @@
             station.spill_count -= waiter.spill
 
     def grant(self, now: datetime.timedelta) -> list[Waiter]:
-        """Grants free slots in order and returns the requests that got one or ran out of time."""
-        done = []
+        """Grants free slots in order and returns the requests that got one or left without one."""
+        done, self._displaced = self._displaced, []
         skipped = []
         while self._heap:
             item = heapq.heappop(self._heap)
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -413,7 +413,14 @@
 
     Raises:
         errors.InvalidInputError: Conflicting or repeated framing headers, or a bad target.
+        errors.LimitExceededError: The head is larger than allowed.
     """
+    size = len(request.target) + sum(len(name) + len(value) + 4 for name, value in request.headers)
+    if size > wire.MAX_HEAD_BYTES:
+        # h11 bounds what it buffers, not a head that arrives whole.
+        raise errors.LimitExceededError(
+            "head is too large", status=431, step="read head", peer=request.peer
+        )
     names = [name for name, _ in request.headers]
     both = b"content-length" in names and b"transfer-encoding" in names
     repeated = names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -297,6 +297,9 @@
                 waiter.permit = None
                 future.set_exception(refusal("quarantined"))
                 continue
+            if waiter.displaced:
+                future.set_exception(refusal("queue-full"))
+                continue
             future.set_result(None)
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,72 @@
+"""Crashing requests: found within the bound, innocents left alone."""
+
+import random
+
+from flamingotiller import clock, quarantine
+
+
+def crash_history(rng, suspects, guilty, now):
+    """Sends the guilty request again and again; returns the endpoints that it killed."""
+    deaths = 0
+    for _ in range(10):
+        if suspects.is_quarantined(guilty, now):
+            break
+        # A suspect runs apart from other suspects, beside requests nobody suspects.
+        innocent = [f"i{rng.randrange(10_000)}" for _ in range(rng.randrange(6))]
+        others = [p for p in innocent if not suspects.is_suspect(p, now)]
+        suspects.on_death([guilty, *others], now)
+        deaths += 1
+        now += clock.seconds(rng.random())
+    return deaths
+
+
+def test_guilty_request_kills_few_and_no_innocent_is_refused():
+    for seed in range(1000):
+        rng = random.Random(seed)
+        suspects = quarantine.Register()
+        now = clock.seconds(10)
+        # Endpoints die for reasons of their own while requests come and mostly end well.
+        for _ in range(rng.randrange(6)):
+            in_flight = [f"i{rng.randrange(10_000)}" for _ in range(rng.randrange(1, 7))]
+            suspects.on_death(in_flight, now)
+            for print_ in in_flight:
+                if rng.random() < 0.9:
+                    suspects.on_finished(print_)
+            now += clock.seconds(rng.random() * 20)
+        assert crash_history(rng, suspects, "guilty", now) <= 3, seed
+        assert suspects.is_quarantined("guilty", now), seed
+        assert set(suspects._quarantined_until) == {"guilty"}, seed
+
+
+def test_suspicion_and_quarantine_run_out_and_can_be_lifted():
+    suspects = quarantine.Register()
+    now = clock.seconds(1)
+    suspects.on_death(["a"], now)
+    assert suspects.is_suspect("a", now)
+    later = now + quarantine.SUSPICION_LIFETIME * 1.1
+    assert not suspects.is_suspect("a", later)
+    suspects.quarantine("b", now)
+    assert not suspects.is_quarantined("b", now + quarantine.QUARANTINE_LIFETIME)
+    suspects.quarantine("c", now)
+    suspects.lift("c")
+    assert not suspects.is_quarantined("c", now)
+
+
+def test_what_another_zone_saw_counts():
+    suspects = quarantine.Register()
+    now = clock.seconds(1)
+    suspects.learn("a", 1, now)
+    assert suspects.on_death(["a", "b"], now) == {"a": 2}
+
+
+def test_fingerprint_tells_requests_apart():
+    same = quarantine.fingerprint("o", "GET", "/a", b"")
+    assert same == quarantine.fingerprint("o", "GET", "/a", b"")
+    others = {
+        quarantine.fingerprint("p", "GET", "/a", b""),
+        quarantine.fingerprint("o", "POST", "/a", b""),
+        quarantine.fingerprint("o", "GET", "/b", b""),
+        quarantine.fingerprint("o", "GET", "/a", b"x"),
+    }
+    assert same not in others
+    assert len(others) == 4
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,346 @@
+"""Replication under loss, duplication, reordering, cuts, freezes, kills and lost disks."""
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+import pytest
+import replica_cluster
+
+from flamingotiller import clock, errors, journal, replica
+
+
+class ReplicationMachine(stateful.RuleBasedStateMachine):
+    """Whatever happens, committed entries stay; once all is well again, work goes on."""
+
+    kind = replica.Replica
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = replica_cluster.Cluster(3, kind=self.kind)
+        self.lost = 0
+
+    def pick(self, number):
+        names = sorted(self.cluster.nodes)
+        return names[number % len(names)]
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.2, 0.7, 2.0]))
+    def time_passes(self, seconds):
+        self.cluster.now += clock.seconds(seconds)
+
+    @stateful.rule(seconds=st.sampled_from([0.3, 1.0, 3.0]))
+    def run(self, seconds):
+        self.cluster.run(seconds)
+
+    @stateful.rule(number=st.integers(0, 9))
+    def tick(self, number):
+        self.cluster.tick(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 99), keep=st.booleans())
+    def deliver(self, number, keep):
+        if self.cluster.messages:
+            self.cluster.deliver(number % len(self.cluster.messages), keep)
+
+    @stateful.rule(number=st.integers(0, 99))
+    def drop(self, number):
+        if self.cluster.messages:
+            del self.cluster.messages[number % len(self.cluster.messages)]
+
+    @stateful.rule(a=st.integers(0, 9), b=st.integers(0, 9), both=st.booleans())
+    def cut(self, a, b, both):
+        self.cluster.links_down.add((self.pick(a), self.pick(b)))
+        if both:
+            self.cluster.links_down.add((self.pick(b), self.pick(a)))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def isolate(self, number):
+        name = self.pick(number)
+        for other in self.cluster.nodes:
+            self.cluster.links_down |= {(name, other), (other, name)}
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.heal()
+
+    @stateful.rule(number=st.integers(0, 9))
+    def freeze(self, number):
+        self.cluster.frozen.add(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def thaw(self, number):
+        self.cluster.frozen.discard(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def crash(self, number):
+        self.cluster.crash(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def propose(self, number):
+        self.cluster.propose(self.pick(number))
+
+    @stateful.rule(number=st.integers(0, 9))
+    def compact(self, number):
+        node = self.cluster.nodes[self.pick(number)]
+        if node.commit > node.store.snapshot.index:
+            node.compact(node.commit, {"upto": node.commit})
+
+    @stateful.rule(number=st.integers(0, 9))
+    def lose_disk_and_replace(self, number):
+        """One lost disk is replaced before the next one is lost, as the operator page says."""
+        self.cluster.heal()
+        self.cluster.run(3)
+        if not self.cluster.leaders():
+            return
+        victim = self.pick(number)
+        newcomer = self.cluster.lose_disk(victim)
+        self.cluster.run(4)
+        leader = self.cluster.leader()
+        change = self.cluster.change_members
+        for step in (
+            lambda m: replica.Members(dict(m.voters), {**m.learners, newcomer: "addr"}),
+            lambda m: replica.Members({**m.voters, newcomer: "addr"}, {}),
+            lambda m: replica.Members({k: v for k, v in m.voters.items() if k != victim}, {}),
+        ):
+            assert change(leader, step) is None
+            self.cluster.run(1)
+        self.lost += 1
+
+    def teardown(self):
+        self.cluster.heal()
+        self.cluster.run(6)
+        leader = self.cluster.leader()
+        value = self.cluster.propose(leader)
+        assert value is not None
+        self.cluster.run(1)
+        assert value in self.cluster.values()
+        values = self.cluster.values()
+        assert len(values) == len(set(values))
+        for identity in self.cluster.nodes[leader].members.voters:
+            assert self.cluster.nodes[identity].commit >= self.cluster.nodes[leader].commit - 1
+
+
+ReplicationMachine.TestCase.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestReplication = ReplicationMachine.TestCase
+
+
+def elected(size=3, kind=replica.Replica):
+    cluster = replica_cluster.Cluster(size, kind=kind)
+    cluster.run(3)
+    return cluster, cluster.leader()
+
+
+def test_committed_entry_survives_the_loss_of_its_leader():
+    cluster, leader = elected()
+    value = cluster.propose(leader)
+    cluster.run(0.5)
+    cluster.frozen.add(leader)
+    cluster.run(4)
+    assert cluster.leader() != leader
+    assert value in cluster.values()
+
+
+def test_instance_isolated_for_hours_does_not_unseat_the_leader():
+    cluster, leader = elected()
+    lonely = next(n for n in cluster.nodes if n != leader)
+    for other in cluster.nodes:
+        cluster.links_down |= {(lonely, other), (other, lonely)}
+    cluster.run(120, step=0.5)
+    term = cluster.nodes[leader].store.term
+    cluster.heal()
+    cluster.run(3)
+    assert cluster.leader() == leader
+    assert cluster.nodes[leader].store.term == term
+
+
+def test_isolated_leader_steps_down_and_confirms_nothing():
+    cluster, leader = elected()
+    for other in cluster.nodes:
+        cluster.links_down |= {(leader, other), (other, leader)}
+    cut_at = cluster.now
+    cluster.run(3)
+    node = cluster.nodes[leader]
+    assert node.role != "leader"
+    assert node.confirmation is None
+    with pytest.raises(errors.NotLeaderError):
+        node.propose({"value": 0}, cluster.now)
+    assert cluster.nodes[cluster.leader()].confirmation.as_of > cut_at
+
+
+def test_second_instance_may_be_lost_right_after_a_repair():
+    cluster, leader = elected()
+    cluster.propose(leader)
+    cluster.run(0.5)
+    victim, other = (n for n in cluster.nodes if n != leader)
+    newcomer = cluster.lose_disk(victim)
+    members = cluster.change_members
+    assert not members(leader, lambda m: replica.Members(m.voters, {newcomer: "addr"}))
+    cluster.run(1)
+    assert not members(leader, lambda m: replica.Members({**m.voters, newcomer: "addr"}))
+    cluster.run(1)
+
+    def without(members):
+        return replica.Members({k: v for k, v in members.voters.items() if k != victim})
+
+    assert not members(leader, without)
+    cluster.run(1)
+    cluster.frozen.add(other)
+    cluster.run(3)
+    value = cluster.propose(cluster.leader())
+    cluster.run(1)
+    assert value in cluster.values()
+
+
+def test_split_vote_is_followed_by_another_election():
+    cluster = replica_cluster.Cluster(3)
+    for name in cluster.nodes:
+        cluster.nodes[name]._start_election(cluster.now)
+        cluster.flush(name)
+    cluster.run(6)
+    assert cluster.leader()
+
+
+def test_newcomer_does_not_count_before_it_has_caught_up():
+    cluster, leader = elected()
+    newcomer = cluster.lose_disk(next(n for n in cluster.nodes if n != leader))
+    error = cluster.change_members(
+        leader, lambda m: replica.Members({**m.voters, newcomer: "addr"})
+    )
+    assert isinstance(error, errors.UnavailableError)
+
+
+def test_member_behind_a_compacted_log_gets_the_snapshot():
+    cluster, leader = elected()
+    behind = next(n for n in cluster.nodes if n != leader)
+    cluster.frozen.add(behind)
+    for _ in range(300):
+        cluster.propose(leader)
+    cluster.run(2)
+    node = cluster.nodes[leader]
+    node.compact(node.commit, {"upto": node.commit})
+    cluster.heal()
+    cluster.run(3)
+    assert cluster.nodes[behind].store.snapshot.state == {"upto": node.store.snapshot.index}
+    assert cluster.nodes[behind].commit == cluster.nodes[cluster.leader()].commit
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        None,
+        {},
+        {"type": "Nothing"},
+        {"type": "VoteReply", "term": "1", "voter": "a", "granted": True, "pre": False},
+        {"type": "VoteReply", "term": 1, "voter": "a", "granted": True},
+        {"type": "VoteReply", "term": 1, "voter": "a", "granted": True, "pre": False, "x": 1},
+    ],
+)
+def test_malformed_message_is_refused(document):
+    with pytest.raises(errors.InvalidInputError):
+        replica.message_from_wire(document)
+
+
+class ForgetsVote(replica.Replica):
+    """Mistake: votes again in a term in which it has voted."""
+
+    def _on_vote_request(self, request, now):
+        if not request.pre:
+            self.store.voted_for = ""
+            self._heard_at = now - 10 * self.timing.election_timeout
+        super()._on_vote_request(request, now)
+
+
+class CommitsOldTermsByCount(replica.Replica):
+    """Mistake: commits an entry of an earlier term by counting copies."""
+
+    def _advance_commit(self):
+        matches = sorted((self._progress(i).match for i in self.members.voters), reverse=True)
+        self.commit = max(self.commit, matches[self.members.quorum - 1])
+
+
+class VotesWithoutLog(replica.Replica):
+    """Mistake: votes for a candidate whose log is behind."""
+
+    def _on_vote_request(self, request, now):
+        changed = replica.VoteRequest(request.term, request.candidate, 10**9, 10**9, request.pre)
+        super()._on_vote_request(changed, now)
+
+
+def old_term_by_count(kind):
+    """Replays the classic history in which an old entry is replaced after it was counted."""
+    cluster = replica_cluster.Cluster(5, kind=kind)
+    names = sorted(cluster.nodes)
+
+    def set_log(name, terms, term):
+        store = cluster.nodes[name].store
+        for number, entry_term in enumerate(terms):
+            store.append(journal.Entry(2 + number, entry_term, "command", {"value": entry_term}))
+        store.set_vote(term, "")
+        store.sync()
+
+    set_log(names[0], [2], 4)
+    set_log(names[1], [2], 4)
+    set_log(names[2], [2], 4)
+    set_log(names[4], [3], 4)
+    node = cluster.nodes[names[0]]
+    node.role, node.leader, node._led_since = "leader", names[0], cluster.now
+    for name in names[:3]:
+        node._progress(name).match = 2
+    node._advance_commit()
+    cluster.observe(names[0])
+    node.role = "follower"
+    cluster.frozen |= {names[0]}
+    candidate = cluster.nodes[names[4]]
+    candidate._start_election(cluster.now + clock.seconds(100))
+    cluster.flush(names[4])
+    cluster.run(5)
+    for name in cluster.alive():
+        cluster.observe(name)
+
+
+def two_candidates_in_one_term(kind):
+    """Two members stand in the same term, and the third hears both."""
+    cluster = replica_cluster.Cluster(3, kind=kind)
+    first, second, voter = sorted(cluster.nodes)
+    for name in (first, second):
+        cluster.nodes[name]._start_election(cluster.now)
+        cluster.flush(name)
+    for _ in range(2):
+        position = next(i for i, m in enumerate(cluster.messages) if m[1] == voter)
+        cluster.deliver(position)
+    cluster.messages = [m for m in cluster.messages if m[0] == voter]
+    while cluster.messages:
+        sender, target, message = cluster.messages.pop(0)
+        cluster.nodes[target].receive(message, cluster.now)
+    assert len(cluster.leaders()) <= 1
+
+
+def candidate_with_a_shorter_log(kind):
+    """A member that missed a committed entry stands for election."""
+    cluster, leader = elected(kind=kind)
+    behind = next(n for n in cluster.nodes if n != leader)
+    cluster.frozen.add(behind)
+    cluster.propose(leader)
+    cluster.run(1)
+    cluster.frozen = {leader}
+    cluster.messages.clear()
+    cluster.now += clock.seconds(60)
+    cluster.nodes[behind]._start_election(cluster.now)
+    cluster.flush(behind)
+    cluster.run(0.3)
+    cluster.propose(behind)
+    cluster.run(2)
+
+
+@pytest.mark.parametrize(
+    ("mistake", "history"),
+    [
+        (ForgetsVote, two_candidates_in_one_term),
+        (VotesWithoutLog, candidate_with_a_shorter_log),
+        (CommitsOldTermsByCount, old_term_by_count),
+    ],
+)
+def test_planted_mistake_is_caught(mistake, history):
+    history(replica.Replica)
+    with pytest.raises((AssertionError, errors.StorageError)):
+        history(mistake)
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,195 @@
+"""Slot queues: slots kept, fair order, leaving endpoints, spill under its ramp."""
+
+import random
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+import pytest
+
+from flamingotiller import clock, kernel, selection
+
+
+def endpoint(name, slots=3, until=1e6, **more):
+    return selection.Endpoint(name, "s", f"addr-{name}", slots, 100, clock.seconds(until), **more)
+
+
+def waiter(organisation="o", deadline=1e6, **more):
+    return selection.Waiter(organisation, 1.0, clock.seconds(deadline), **more)
+
+
+def warm(*endpoints, now=1000):
+    queue = selection.SlotQueue("s")
+    for item in endpoints:
+        queue.announce(item, clock.ZERO)
+    return queue, clock.seconds(now)
+
+
+class QueueMachine(stateful.RuleBasedStateMachine):
+    """Requests come, wait, run, end and give up while endpoints come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = clock.seconds(100)
+        self.queue = selection.SlotQueue("s")
+        self.waiting = []
+        self.running = []
+        self.left = set()
+        self.session = 0
+
+    @stateful.rule(name=st.sampled_from("ab"))
+    def announce(self, name):
+        self.session += 1
+        until = self.now.total_seconds() + 3
+        self.queue.announce(endpoint(name, until=until, session=str(self.session)), self.now)
+        self.left.discard(name)
+        self.pump()
+
+    @stateful.rule(name=st.sampled_from("ab"))
+    def leave(self, name):
+        self.queue.leave(name)
+        self.left.add(name)
+
+    @stateful.rule(organisation=st.sampled_from("xyz"), seconds=st.sampled_from([0.5, 5, 50]))
+    def ask(self, organisation, seconds):
+        item = waiter(organisation, self.now.total_seconds() + seconds)
+        if self.queue.ask(item, self.now):
+            self.waiting.append(item)
+        self.pump()
+
+    @stateful.rule()
+    def spill(self):
+        item = waiter(spill=True)
+        if self.queue.ask(item, self.now):
+            assert item.permit
+            assert item.permit.endpoint not in self.left
+            self.running.append(item)
+
+    @stateful.rule(number=st.integers(0, 99))
+    def end(self, number):
+        if self.running:
+            self.queue.release(self.running.pop(number % len(self.running)).permit.number)
+            self.pump()
+
+    @stateful.rule(number=st.integers(0, 99))
+    def give_up(self, number):
+        if self.waiting:
+            self.queue.withdraw(self.waiting.pop(number % len(self.waiting)))
+
+    @stateful.rule(milliseconds=st.sampled_from([10, 700, 4000]))
+    def time_passes(self, milliseconds):
+        self.now += clock.seconds(milliseconds / 1000)
+        self.queue.expire(self.now)
+        self.pump()
+
+    def pump(self):
+        for item in self.queue.grant(self.now):
+            self.waiting.remove(item)
+            if item.permit:
+                assert item.permit.endpoint not in self.left
+                self.running.append(item)
+
+    @stateful.invariant()
+    def slots_are_kept(self):
+        for name, station in self.queue.station_by_name.items():
+            assert station.used <= station.endpoint.slots, name
+        assert self.queue.waiting == len(self.waiting)
+
+
+QueueMachine.TestCase.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestQueue = QueueMachine.TestCase
+
+
+def test_organisation_at_five_times_its_part_waits_behind_itself():
+    queue, now = warm(endpoint("a", slots=1))
+    items = [waiter("large") for _ in range(50)] + [waiter("small") for _ in range(3)]
+    for item in items:
+        queue.ask(item, now)
+    order = []
+    for _ in range(10):
+        granted = queue.grant(now)
+        order += [item.organisation for item in granted if item.permit]
+        for item in granted:
+            if item.permit:
+                queue.release(item.permit.number)
+            else:
+                assert item.displaced
+                assert item.organisation == "large"
+    assert order.count("small") == 3
+    assert "small" in order[:3]
+
+
+def test_leaving_endpoint_gets_nothing_and_a_late_renewal_changes_nothing():
+    queue, now = warm(endpoint("a", session="1"))
+    queue.leave("a")
+    queue.announce(endpoint("a", session="1"), now)
+    queue.ask(waiter(), now)
+    assert queue.grant(now) == []
+    queue.announce(endpoint("a", session="2"), now)
+    assert len(queue.grant(now)) == 1
+
+
+def test_returning_endpoint_starts_slowly():
+    queue = selection.SlotQueue("s")
+    queue.announce(endpoint("a", slots=8), clock.ZERO)
+    for _ in range(8):
+        queue.ask(waiter(), clock.ZERO)
+    assert len(queue.grant(clock.ZERO)) == 1
+    assert len(queue.grant(selection.SLOW_START / 2)) == 3
+    assert len(queue.grant(selection.SLOW_START)) == 4
+
+
+def test_spill_takes_free_slots_only_and_grows_step_by_step():
+    queue, now = warm(endpoint("a", slots=8))
+    taken = 0
+    by_second = []
+    for second in range(6):
+        at = now + clock.seconds(second)
+        while queue.ask(waiter(spill=True), at):
+            taken += 1
+        by_second.append(taken)
+    assert by_second == [2, 4, 6, 8, 8, 8]
+    queue.ask(waiter(), now)
+    assert not queue.ask(waiter(spill=True), now)
+
+
+def test_suspects_run_apart():
+    queue, now = warm(endpoint("a"), endpoint("b"))
+    items = [waiter(fingerprint=str(n), suspect=True) for n in range(3)]
+    for item in items:
+        queue.ask(item, now)
+    granted = queue.grant(now)
+    assert sorted(item.permit.endpoint for item in granted) == ["a", "b"]
+
+
+def test_death_is_noted_once():
+    queue, now = warm(endpoint("a"))
+    items = [waiter(fingerprint=str(n)) for n in range(3)]
+    for item in items:
+        queue.ask(item, now)
+    queue.grant(now)
+    assert sorted(queue.on_death(items[0].permit.number)) == ["0", "1", "2"]
+    assert queue.on_death(items[1].permit.number) == []
+
+
+def test_permit_of_a_dead_instance_comes_back():
+    queue, now = warm(endpoint("a", slots=1))
+    queue.ask(waiter(deadline=1001), now)
+    queue.grant(now)
+    queue.expire(clock.seconds(1001) + selection.PERMIT_GRACE)
+    assert queue.in_flight() == 0
+
+
+@pytest.mark.parametrize("name", ["random", "least_own", "two_choices", "least_reported"])
+def test_contract_of_local_policies(name):
+    kernel.load_plugins()
+    policy = kernel.selection_policies.get(name)(random.Random(1))
+    endpoints = [endpoint("a"), endpoint("b", load=2)]
+    for _ in range(20):
+        chosen = policy.choose(endpoints)
+        assert chosen in endpoints
+        policy.begin(chosen.name)
+    policy.end(chosen.name)
+    assert policy.own("a") + policy.own("b") == 19
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the project: the distribution build and the measurements."""
