--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -4,29 +4,50 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import datetime
 import typing
 
-from flamingotiller import client, clock, errors, kernel, lease, limiter, lookup
+from flamingotiller import client, clock, contract, errors, kernel, lease, limiter, lookup
 
 if typing.TYPE_CHECKING:
     from flamingotiller import entry
 
-PULL_TIMEOUT = clock.seconds(0.5)
-HOLDER_TIMEOUT = clock.seconds(1)
-PREFETCH_BELOW = 0.25
-PREFETCH_PAUSE = clock.seconds(0.2)
-MAX_WAITING = 1000
+LOAN_TIMEOUT = clock.seconds(0.5)
+HOLDER_TIMEOUT = clock.seconds(2)
+# Demand of this long is borrowed ahead while it lasts.
+AHEAD = clock.seconds(0.5)
+AHEAD_PAUSE = clock.seconds(0.1)
+AHEAD_BURST_FRACTION = 0.25
+ROUND_PAUSE = clock.seconds(0.05)
+SETTLE_INTERVAL = clock.seconds(0.25)
 
 
 @dataclasses.dataclass
-class _Pull:
-    """Requests of one organisation that wait for tokens of other zones."""
+class _Waiter:
+    """A request that waits for a token."""
 
-    waiting: list[asyncio.Future[bool]] = dataclasses.field(default_factory=list)
-    running: bool = False
-    ended: datetime.timedelta | None = None
+    since: datetime.timedelta
+    answer: asyncio.Future[bool]
+
+
+@dataclasses.dataclass
+class _Demand:
+    """What is wanted of one organisation's tokens at this holder."""
+
+    waiting: list[_Waiter] = dataclasses.field(default_factory=list)
+    recent: collections.deque[datetime.timedelta] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=1000)
+    )
+    borrowing: bool = False
+    borrowed: datetime.timedelta | None = None
+
+    def note(self, now: datetime.timedelta) -> None:
+        """Notes a request."""
+        self.recent.append(now)
+        while self.recent and now - self.recent[0] > AHEAD:
+            self.recent.popleft()
 
 
 class Admission:
@@ -39,17 +60,17 @@
 
     def __init__(self, process: entry.EntryInstance, kind: str) -> None:
         self._process = process
-        self._buckets = limiter.BucketSet(kernel.limiters.get(kind))
-        self._pull_by_organisation: dict[str, _Pull] = {}
+        self._purses = limiter.PurseSet(kernel.limiters.get(kind))
+        self._demand_by_organisation: dict[str, _Demand] = {}
 
     def on_shard_lost(self, shard: int) -> None:
-        """Forgets the buckets of a shard that is not held any more."""
-        for organisation in list(self._buckets.bucket_by_organisation):
+        """Forgets the purses of a shard that is not held any more."""
+        for organisation in list(self._purses.purse_by_organisation):
             if lease.shard_of("organisation", organisation) == shard:
-                self._buckets.drop(organisation)
+                self._purses.drop(organisation)
 
-    def bucket(self, organisation: str) -> limiter.Bucket:
-        """Returns the bucket of an organisation at this holder.
+    def purse(self, organisation: str) -> limiter.Purse:
+        """Returns the purse of an organisation at this holder.
 
         Raises:
             errors.UnavailableError: This instance does not hold its shard.
@@ -59,16 +80,26 @@
             raise errors.UnavailableError("shard is not held here", step="take token")
         now = self._process.clock.monotonic()
         share = self._share(organisation)
-        bucket = self._buckets.get(organisation, share, now)
-        bucket.set_share(share, now)
-        return bucket
+        purse = self._purses.get(organisation, share, now)
+        purse.bucket.set_share(share, now)
+        return purse
 
-    def _share(self, organisation: str) -> limiter.Share:
+    def _terms(self, organisation: str) -> tuple[contract.Contract, contract.Deployment]:
         view = self._process.feed.view
         terms = view.contract_by_organisation.get(organisation)
         if terms is None or view.deployment is None:
             raise errors.NotFoundError(f"{organisation} has no contract", step="take token")
-        return limiter.zone_share(terms.rate, terms.burst, len(view.deployment.zones_by_name))
+        return terms, view.deployment
+
+    def _share(self, organisation: str) -> limiter.Share:
+        terms, deployment = self._terms(organisation)
+        return limiter.zone_share(
+            organisation,
+            terms.rate,
+            terms.burst,
+            self._process.config.zone,
+            deployment.zones_by_name,
+        )
 
     async def take(self, organisation: str) -> bool:
         """Takes a token for a request that arrived here.
@@ -76,9 +107,19 @@
         Returns:
             Whether there was one; False is a refusal for good reason.
 
+        Waits while no holder can be asked, in this zone or another; the caller bounds that time.
+
         Raises:
-            errors.UnavailableError: No holder could be asked, in this zone or another.
+            errors.NotFoundError: The organisation has no contract.
         """
+        while True:
+            try:
+                return await self._take(organisation)
+            except errors.UnavailableError:
+                # A shard that changes hands is held again within a moment.
+                await asyncio.sleep(ROUND_PAUSE.total_seconds())
+
+    async def _take(self, organisation: str) -> bool:
         shard = lease.shard_of("organisation", organisation)
         body = {"organisation": organisation}
         try:
@@ -107,97 +148,130 @@
         raise errors.UnavailableError("nobody holds the organisation's tokens", step="take token")
 
     async def take_here(self, organisation: str) -> bool:
-        """Takes a token at this holder, pulling from other zones if need be."""
-        bucket = self.bucket(organisation)
+        """Takes a token at this holder, borrowing from other zones if need be."""
+        purse = self.purse(organisation)
         now = self._process.clock.monotonic()
-        pull = self._pull_by_organisation.setdefault(organisation, _Pull())
-        if not pull.waiting and bucket.take(now):
-            self._prefetch(organisation, bucket, pull, now)
+        demand = self._demand_by_organisation.setdefault(organisation, _Demand())
+        demand.note(now)
+        if not demand.waiting and purse.take(now):
+            self._borrow_ahead(organisation, purse, demand, now)
             return True
-        if len(pull.waiting) >= MAX_WAITING or not self._donors():
+        terms, _ = self._terms(organisation)
+        room = terms.burst + terms.rate * limiter.MAX_WAIT.total_seconds()
+        if len(demand.waiting) >= room:
             return False
-        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        pull.waiting.append(future)
-        self._start(organisation, pull)
+        waiter = _Waiter(now, asyncio.get_running_loop().create_future())
+        demand.waiting.append(waiter)
+        self._start(organisation, demand)
         try:
-            return await future
+            return await waiter.answer
         except asyncio.CancelledError:
-            if future in pull.waiting:
-                pull.waiting.remove(future)
+            if waiter in demand.waiting:
+                demand.waiting.remove(waiter)
             raise
 
-    def _prefetch(self, organisation, bucket, pull: _Pull, now: datetime.timedelta) -> None:
-        share = self._share(organisation)
-        low = bucket.tokens(now) < PREFETCH_BELOW * share.burst
-        rested = pull.ended is None or now - pull.ended >= PREFETCH_PAUSE
-        if low and rested and self._donors():
-            self._start(organisation, pull)
-
-    def _donors(self) -> list[str]:
-        zones = lookup.neighbours(self._process.feed.view, self._process.config.zone)
-        return [zone for zone in zones if self._process.table.addresses_in(zone)]
-
-    def _start(self, organisation: str, pull: _Pull) -> None:
-        if pull.running:
-            return
-        pull.running = True
-        self._process.background(self._pull(organisation, pull))
-
-    async def _pull(self, organisation: str, pull: _Pull) -> None:
+    def _borrow_ahead(self, organisation, purse, demand: _Demand, now) -> None:
+        low = purse.tokens(now) < len(demand.recent) / 2
+        rested = demand.borrowed is None or now - demand.borrowed >= AHEAD_PAUSE
+        if low and rested and self._lenders(organisation):
+            self._start(organisation, demand)
+
+    def _lenders(self, organisation: str) -> list[str]:
+        """Returns the reachable zones that have a share."""
+        terms, deployment = self._terms(organisation)
+        sharing = limiter.share_zones(organisation, terms.burst, deployment.zones_by_name)
+        own = self._process.config.zone
+        return [z for z in sharing if z != own and self._process.table.addresses_in(z)]
+
+    def _start(self, organisation: str, demand: _Demand) -> None:
+        if not demand.borrowing:
+            demand.borrowing = True
+            self._process.background(self._borrow(organisation, demand))
+
+    async def _borrow(self, organisation: str, demand: _Demand) -> None:
+        """Borrows until nobody waits any more; those who have waited too long are refused."""
         try:
-            while await self._pull_once(organisation, pull):
-                pass
+            while True:
+                gained = await self._borrow_once(organisation, demand)
+                self._serve(organisation, demand)
+                if not demand.waiting:
+                    return
+                if gained < 1.0:
+                    await asyncio.sleep(ROUND_PAUSE.total_seconds())
+                    self._serve(organisation, demand)
+                    self._refuse_late(demand)
         except errors.FlamingotillerError:
-            _answer(pull, len(pull.waiting), False)
+            for waiter in demand.waiting:
+                _answer(waiter, False)
+            demand.waiting.clear()
         finally:
-            pull.running = False
-            pull.ended = self._process.clock.monotonic()
+            demand.borrowing = False
+            demand.borrowed = self._process.clock.monotonic()
 
-    async def _pull_once(self, organisation: str, pull: _Pull) -> bool:
-        """Asks every other zone once; returns whether to ask again."""
-        asked = len(pull.waiting)
-        share = self._share(organisation)
-        wanted = asked + share.burst / 2
-        sent = self._process.clock.monotonic()
-        donors = self._donors()
-        pulls = [self._pull_from(zone, organisation, wanted / len(donors)) for zone in donors]
-        gained = sum(await asyncio.gather(*pulls))
+    def _serve(self, organisation: str, demand: _Demand) -> None:
+        purse = self.purse(organisation)
+        now = self._process.clock.monotonic()
+        while demand.waiting and purse.take(now):
+            _answer(demand.waiting.pop(0), True)
+        self._tell_lenders(organisation, purse)
+
+    def _refuse_late(self, demand: _Demand) -> None:
         now = self._process.clock.monotonic()
-        if now - sent > limiter.TRANSFER_LIFETIME:
-            gained = 0.0
-        served = self.bucket(organisation).redeem(gained, len(pull.waiting), now)
-        _answer(pull, served, True)
-        if gained < 1.0:
-            # Nobody has tokens: those that were waiting when the question was put are refused.
-            _answer(pull, max(0, asked - served), False)
-        return bool(pull.waiting)
-
-    async def _pull_from(self, zone: str, organisation: str, wanted: float) -> float:
-        addresses = self._process.table.addresses_in(zone)
-        body = {"organisation": organisation, "wanted": max(1.0, wanted)}
-        for address in addresses[:2]:
+        while demand.waiting and now - demand.waiting[0].since >= limiter.MAX_WAIT:
+            _answer(demand.waiting.pop(0), False)
+
+    async def _borrow_once(self, organisation: str, demand: _Demand) -> float:
+        """Asks every other zone that has a share once; returns the tokens gained."""
+        lenders = self._lenders(organisation)
+        if not lenders:
+            return 0.0
+        terms, _ = self._terms(organisation)
+        ahead = min(len(demand.recent), AHEAD_BURST_FRACTION * terms.burst)
+        wanted = (len(demand.waiting) + ahead) / len(lenders)
+        asked = self._process.clock.monotonic()
+        loans = await asyncio.gather(
+            *(self._borrow_from(zone, organisation, max(1.0, wanted)) for zone in lenders)
+        )
+        purse = self.purse(organisation)
+        for address, loan in loans:
+            purse.borrow(address, loan, asked, self._process.clock.monotonic())
+        return sum(loan.tokens for _, loan in loans)
+
+    async def _borrow_from(
+        self, zone: str, organisation: str, wanted: float
+    ) -> tuple[str, limiter.Loan]:
+        body = {"organisation": organisation, "wanted": wanted}
+        for address in self._process.table.addresses_in(zone)[:2]:
             try:
                 answer = await self._process.client.call(
-                    address, "POST", "/v1/tokens/give", body, timeout=PULL_TIMEOUT
+                    address, "POST", "/v1/tokens/lend", body, timeout=LOAN_TIMEOUT
                 )
-                document = client.raise_for_status(answer, step="pull tokens", peer=address)
-                self._process.background(self._settle(address, organisation, document))
-                return float(document["tokens"])
+                document = client.raise_for_status(answer, step="borrow tokens", peer=address)
+                return address, limiter.Loan(int(document["number"]), float(document["tokens"]))
             except (errors.FlamingotillerError, KeyError, TypeError, ValueError):
                 continue
-        return 0.0
-
-    async def _settle(self, address: str, organisation: str, document) -> None:
-        if not document["tokens"]:
-            return
-        body = {"organisation": organisation, "number": document["number"]}
-        try:
-            await self._process.client.call(
-                address, "POST", "/v1/tokens/settle", body, timeout=PULL_TIMEOUT
-            )
-        except errors.TransportError:
-            # The donor counts the transfer as under way until its lifetime has passed.
-            return
+        return "", limiter.Loan(0, 0.0)
+
+    async def run(self) -> None:
+        """Settles loans that have ended."""
+        while True:
+            await asyncio.sleep(SETTLE_INTERVAL.total_seconds())
+            for organisation, purse in list(self._purses.purse_by_organisation.items()):
+                self._tell_lenders(organisation, purse)
+
+    def _tell_lenders(self, organisation: str, purse: limiter.Purse) -> None:
+        by_lender: dict[str, list[tuple[int, float, float | None]]] = {}
+        for lender, told in purse.settlements(self._process.clock.monotonic()):
+            by_lender.setdefault(lender, []).append((told.number, told.spent, told.unspent))
+        for lender, rows in by_lender.items():
+            self._process.background(self._settle(lender, organisation, rows))
+
+    async def _settle(self, lender: str, organisation: str, rows: list[typing.Any]) -> None:
+        # When the last word on a loan is lost, the lender counts the loan until it is void.
+        body = {"organisation": organisation, "loans": rows}
+        await self._process.client.call(
+            lender, "POST", "/v1/tokens/settle", body, timeout=LOAN_TIMEOUT
+        )
 
     # What other instances ask of this one
 
@@ -217,29 +291,30 @@
             if hops:
                 raise errors.UnavailableError("shard is not held here", step=path)
             return await self._process.shards.ask_holder(
-                shard, path, {**body, "hops": hops + 1}, PULL_TIMEOUT
+                shard, path, {**body, "hops": hops + 1}, LOAN_TIMEOUT
             )
         if path == "/v1/tokens/take":
             return {"taken": await self.take_here(organisation)}
-        return self._on_transfer(path, organisation, body)
+        return self._on_loan(path, organisation, body)
 
-    def _on_transfer(self, path: str, organisation: str, body) -> dict[str, typing.Any]:
-        bucket = self.bucket(organisation)
+    def _on_loan(self, path: str, organisation: str, body) -> dict[str, typing.Any]:
+        bucket = self.purse(organisation).bucket
+        now = self._process.clock.monotonic()
         try:
             if path == "/v1/tokens/settle":
-                bucket.settle(int(body["number"]), self._process.clock.monotonic())
+                for number, spent, unspent in body["loans"]:
+                    left = None if unspent is None else float(unspent)
+                    bucket.settle(limiter.Settlement(int(number), float(spent), left), now)
                 return {}
             wanted = float(body["wanted"])
         except (KeyError, TypeError, ValueError) as error:
             raise errors.InvalidInputError(f"bad token message: {error}", step=path) from error
         if not 0 < wanted < 1e9:
             raise errors.InvalidInputError("wanted: expected a positive number", step=path)
-        transfer = bucket.give(wanted, self._process.clock.monotonic())
-        return {"number": transfer.number, "tokens": transfer.tokens}
+        loan = bucket.lend(wanted, now)
+        return {"number": loan.number, "tokens": loan.tokens}
 
 
-def _answer(pull: _Pull, count: int, value: bool) -> None:
-    for future in pull.waiting[:count]:
-        if not future.done():
-            future.set_result(value)
-    del pull.waiting[:count]
+def _answer(waiter: _Waiter, value: bool) -> None:
+    if not waiter.answer.done():
+        waiter.answer.set_result(value)
--- a/flamingotiller/caller_routes.py
+++ b/flamingotiller/caller_routes.py
@@ -4,7 +4,7 @@
 
 import secrets
 
-from flamingotiller import entry, errors, kernel, lookup, server
+from flamingotiller import entry, errors, kernel, server
 
 
 @kernel.entry_routes.register("GET /v1/lookup")
@@ -16,24 +16,8 @@
     if len(organisation) > 63:
         raise errors.InvalidInputError("organisation: at most 63 characters", step="look up")
     address = request.query.get("address") or request.peer.rpartition(":")[0].strip("[]")
-    targets = lookup.rank(
-        process.table,
-        process.feed.view,
-        organisation,
-        process.near_zone(address),
-        process.clock.monotonic(),
-    )
     process.metrics.count("flamingotiller_lookups_total")
-    lifetime = process.config.lookup_lifetime
-    body = {
-        "instances": [
-            {"address": target.address, "zone": target.zone, "instance": target.instance}
-            for target in targets
-        ],
-        "lifetime_s": lifetime.total_seconds(),
-        "request_id_prefix": process.claiming.issue(secrets.token_hex(4)),
-        "request_id_lifetime_s": process.config.retention.total_seconds(),
-    }
-    cache = f"max-age={max(1, int(lifetime.total_seconds()))}".encode()
-    status = 200 if targets else 503
-    await reply.json(status, body, [(b"cache-control", cache if targets else b"no-store")])
+    ranked = process.ranking(organisation, process.near_zone(address))
+    prefix = process.claiming.issue(secrets.token_hex(4))
+    body = b'{"request_id_prefix":"%b",%b' % (prefix.encode(), ranked.rest_of_body)
+    await reply.send(ranked.status, body, ranked.headers)
--- a/flamingotiller/cli.py
+++ b/flamingotiller/cli.py
@@ -86,14 +86,14 @@
 
         A folder that was lost is not founded again: see docs/OPERATIONS.md.
 
+        Example:
+            flamingotiller found control-1
+            control-1=10.0.0.1:7300,control-2=10.0.0.2:7300,control-3=10.0.0.3:7300 /var/lib/ft
+
         Args:
             instance: This control instance.
             members: Every founding control instance, NAME=IP:PORT separated by commas.
             data: The data folder.
-
-        Example:
-            flamingotiller found control-1
-            control-1=10.0.0.1:7300,control-2=10.0.0.2:7300,control-3=10.0.0.3:7300 /var/lib/ft
         """
         try:
             parsed = typing.cast(dict[str, str], settings.parse_mapping(members))
@@ -106,13 +106,13 @@
     def run(self, keep: bool = False, log_format: str = "text", quiet: bool = True) -> None:
         """Runs every role in this process, with emulated endpoints, and sends real requests.
 
+        Example:
+            flamingotiller run --keep
+
         Args:
             keep: Keep it up afterwards, with its addresses printed.
             log_format: Form of log lines, text or json.
             quiet: Leave out the log.
-
-        Example:
-            flamingotiller run --keep
         """
         events.configure(log_format)
         if quiet:
@@ -122,12 +122,12 @@
     def check(self, *files: str, role: str = "", **flags: typing.Any) -> None:
         """Checks contracts, deployments, or the settings of a role, and starts nothing.
 
+        Example:
+            flamingotiller check examples/register/*.toml
+
         Args:
             files: TOML files.
             role: entry or control, to check flags and environment as that role would.
-
-        Example:
-            flamingotiller check examples/register/*.toml
         """
         if not files and not role:
             raise errors.SettingsError("nothing to check: name files or a role", step="check")
@@ -157,12 +157,12 @@
     ) -> None:
         """Prints the entry instances that a caller should use, best first.
 
+        Example:
+            flamingotiller lookup 10.0.1.1:7400 kazanlak
+
         Args:
             entries: Addresses of entry instances, separated by commas.
             organisation: The caller's organisation.
-
-        Example:
-            flamingotiller lookup 10.0.1.1:7400 kazanlak
         """
         seeds = typing.cast(list[str], settings.parse_list(entries))
 
@@ -187,6 +187,9 @@
     ) -> None:
         """Puts contracts and deployments in force.
 
+        Example:
+            flamingotiller apply contracts/kazanlak.toml --base=41
+
         Args:
             files: TOML files.
             base: Version that the file was made from; a newer one in force is a conflict.
@@ -194,9 +197,6 @@
             server: Control instances.
             token_file: File with the operator's token.
             json: Print one JSON object a change.
-
-        Example:
-            flamingotiller apply contracts/kazanlak.toml --base=41
         """
         documents = [porcelain.read_document(path) for path in files]
         if not documents or (change_id and len(documents) > 1):
@@ -218,11 +218,11 @@
     ) -> None:
         """Prints what is in force.
 
-        Args:
-            prefix: Start of the subjects, for example contract/kazanlak.
-
         Example:
             flamingotiller show contract/
+
+        Args:
+            prefix: Start of the subjects, for example contract/kazanlak.
         """
         items = _operate(server, token_file, lambda operator: operator.items(prefix))
         rows = (
@@ -442,11 +442,11 @@
     ) -> None:
         """Announces a drain; what is drained gets no new work after a few seconds.
 
-        Args:
-            kind: endpoint, instance, zone or region.
-
         Example:
             flamingotiller drain start zone thrace-a --reason="switch replacement"
+
+        Args:
+            kind: endpoint, instance, zone or region.
         """
 
         async def work(operator: porcelain.Operator) -> None:
--- a/flamingotiller/daemon.py
+++ b/flamingotiller/daemon.py
@@ -20,6 +20,7 @@
     metrics,
     server,
     settings,
+    wire,
 )
 
 TASK_RESTART_DELAY = clock.seconds(0.5)
@@ -187,6 +188,9 @@
 
     def update_metrics(self) -> None:
         """Sets the gauges that are read rather than counted."""
+        for direction in ("read", "written"):
+            crossed = getattr(wire.total_traffic, direction)
+            self.metrics.gauge("flamingotiller_wire_bytes", crossed, direction=direction)
         self.metrics.gauge("flamingotiller_open_connections", self.server.connection_count)
         self.metrics.gauge("flamingotiller_in_flight_requests", self.server.request_count)
 
--- a/flamingotiller/endpoint_emulator.py
+++ b/flamingotiller/endpoint_emulator.py
@@ -133,6 +133,12 @@
         await self._server.close()
         await self._pool.close()
 
+    def crash(self) -> None:
+        """Ends every connection and says no more, as when the process dies."""
+        if self._task:
+            self._task.cancel()
+        self._server.abort()
+
     async def _handle(self, request: server.Request, reply: server.Reply) -> None:
         body = await request.read()
         if self.busy >= self.profile.slots:
@@ -166,7 +172,7 @@
 
     async def _answer(self, request: server.Request, reply: server.Reply, body: bytes) -> None:
         if "crash" in request.query:
-            await self._server.close()
+            self.crash()
             return
         request_id = request.header("flamingotiller-request-id") or ""
         document = {
--- a/flamingotiller/entry.py
+++ b/flamingotiller/entry.py
@@ -5,9 +5,13 @@
 
 import asyncio
 import collections.abc
+import dataclasses
+import datetime
 import random
 import typing
 
+import orjson
+
 from flamingotiller import (
     address_blocks,
     admission,
@@ -22,6 +26,7 @@
     feed,
     gossip,
     kernel,
+    lookup,
     membership,
     request_path,
     server,
@@ -33,6 +38,25 @@
 
 WATCH_INTERVAL = clock.seconds(0.25)
 LATE_AFTER = clock.seconds(1)
+RANKING_LIFETIME = clock.seconds(0.2)
+MAX_RANKINGS = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Ranking:
+    """An answer to look-ups, ready but for the prefix of request ids.
+
+    Attributes:
+        until: Monotonic time up to which it is used.
+        status: HTTP status.
+        headers: Headers of the answer.
+        rest_of_body: JSON after the prefix.
+    """
+
+    until: datetime.timedelta
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    rest_of_body: bytes
 
 
 class EntryInstance(daemon.Daemon):
@@ -58,6 +82,7 @@
         super().__init__(config, tokens, clk, kernel.entry_routes)
         self._rng = rng
         self._background: set[asyncio.Task[typing.Any]] = set()
+        self._ranking_by_key: dict[tuple[str, str | None], Ranking] = {}
         self._blocks: tuple[int, address_blocks.BlockTable] | None = None
         self.endpoint_pool = client.ConnectionPool()
         self.control = control_client.ControlClient(self.client, config.control, clk)
@@ -88,6 +113,7 @@
             ("subscription", self.subscription.run),
             ("shards", self.shards.run),
             ("slots", self.slots.run),
+            ("admission", self.admission.run),
             ("watch", self._watch),
         ):
             self.spawn(name, work)
@@ -143,6 +169,35 @@
             self._blocks = (view.version, address_blocks.BlockTable(zone_by_block))
         return self._blocks[1].zone_of(address)
 
+    def ranking(self, organisation: str, near: str | None) -> Ranking:
+        """Returns the answer to look-ups of an organisation's callers near a zone.
+
+        Ranking costs more than the rest of a look-up, and changes with members and
+        configuration only, so an answer is used again for a moment.
+        """
+        now = self.clock.monotonic()
+        held = self._ranking_by_key.get((organisation, near))
+        if held and now < held.until and not self.table.own.leaving:
+            return held
+        if len(self._ranking_by_key) >= MAX_RANKINGS:
+            self._ranking_by_key.clear()
+        targets = lookup.rank(self.table, self.feed.view, organisation, near, now)
+        lifetime = self.config.lookup_lifetime.total_seconds()
+        body = {
+            "instances": [
+                {"address": target.address, "zone": target.zone, "instance": target.instance}
+                for target in targets
+            ],
+            "lifetime_s": lifetime,
+            "request_id_lifetime_s": self.config.retention.total_seconds(),
+        }
+        cache = f"max-age={max(1, int(lifetime))}".encode() if targets else b"no-store"
+        headers = [(b"content-type", b"application/json"), (b"cache-control", cache)]
+        status = 200 if targets else 503
+        ranking = Ranking(now + RANKING_LIFETIME, status, headers, orjson.dumps(body)[1:])
+        self._ranking_by_key[organisation, near] = ranking
+        return ranking
+
     async def drain(self) -> None:
         """Leaves look-ups and leases, then serves until cached answers have run out."""
         await self.gossip.announce_leaving()
--- a/flamingotiller/feed.py
+++ b/flamingotiller/feed.py
@@ -15,7 +15,8 @@
 
 HOLD_TIMEOUT = clock.seconds(2)
 CONFIRM_INTERVAL = clock.seconds(1)
-REPORT_LIFETIME = clock.seconds(10)
+REPORT_INTERVAL = clock.seconds(4)
+REPORT_LIFETIME = clock.seconds(15)
 FAN_OUT = 4
 
 
@@ -28,12 +29,14 @@
         version: Configuration version in force.
         age_s: Age of its last confirmation in seconds, -1 for none.
         address: Its address.
+        stamp: Grows from one report of a process to its next; only compared with its own.
     """
 
     zone: str
     version: int
     age_s: float
     address: str
+    stamp: int
 
 
 class Feed:
@@ -59,6 +62,8 @@
         self._pending: tuple[int, datetime.timedelta] | None = None
         self._published: datetime.timedelta | None = None
         self._news = asyncio.Event()
+        self._last_stamp = 0
+        self._sent_by_name: dict[str, tuple[int, datetime.timedelta]] = {}
         self._report_by_name: dict[str, tuple[datetime.timedelta, Report]] = {}
 
     @property
@@ -178,7 +183,14 @@
 
     def _note(self, reports: dict[str, Report], now: datetime.timedelta) -> None:
         for name, report in reports.items():
-            self._report_by_name[name] = (now, report)
+            held = self._report_by_name.get(name)
+            # Reports come over several paths while the tree changes; only news counts.
+            if held is None or report.stamp > held[1].stamp:
+                self._report_by_name[name] = (now, report)
+
+    def _stamp(self) -> int:
+        self._last_stamp = max(self._last_stamp + 1, int(self._clock.utc().timestamp() * 1000))
+        return self._last_stamp
 
     def reports(self) -> dict[str, Report]:
         """Returns the latest reports of this process and of those that subscribe through it."""
@@ -186,22 +198,33 @@
         for name, (at, _) in list(self._report_by_name.items()):
             if now - at > REPORT_LIFETIME:
                 del self._report_by_name[name]
+                self._sent_by_name.pop(name, None)
         age = self.age()
         age_s = -1.0 if age is None else round(age.total_seconds(), 3)
-        own = Report(self.zone, self.version, age_s, self.address)
+        own = Report(self.zone, self.version, age_s, self.address, self._stamp())
         return {
             **{name: report for name, (_, report) in self._report_by_name.items()},
             self.name: own,
         }
 
+    def _unsent(self) -> dict[str, tuple[typing.Any, ...]]:
+        """Returns the reports to pass on: those with a new version, the others now and then."""
+        now = self._clock.monotonic()
+        unsent = {}
+        for name, report in self.reports().items():
+            version, at = self._sent_by_name.get(name, (-1, now))
+            if report.version != version or now - at >= REPORT_INTERVAL:
+                self._sent_by_name[name] = (report.version, now)
+                unsent[name] = dataclasses.astuple(report)
+        return unsent
+
     def subscription(self, *, now: bool = False) -> dict[str, typing.Any]:
         """Returns the request that this process sends to another feed.
 
         Args:
             now: Whether to be answered at once.
         """
-        reports = {name: dataclasses.astuple(r) for name, r in self.reports().items()}
-        request: dict[str, typing.Any] = {"after": self.version, "reports": reports}
+        request: dict[str, typing.Any] = {"after": self.version, "reports": self._unsent()}
         if now:
             request["now"] = True
         return request
--- a/flamingotiller/limiter.py
+++ b/flamingotiller/limiter.py
@@ -1,24 +1,32 @@
 """Rate limits: one bucket per organisation, split into one share per zone.
 
-The holder of an organisation's shard in a zone keeps the zone's share; tokens move between zones
-on demand and are debited before they are sent, so they can be lost but never doubled. Shares sum
-to at most the contract's rate and burst at every instant: docs/design/rate-limits.md."""
+The holder of an organisation's shard in a zone keeps the zone's share; zones lend each other
+tokens on demand. A loan is debited before it is sent and counts against the lender's burst until
+it is spent, given back or void, so tokens can be lost but never doubled. Shares sum to at most the
+contract's rate and burst at every instant: docs/design/rate-limits.md."""
 
 from __future__ import annotations
 
 import abc
+import collections.abc
 import dataclasses
 import datetime
 import typing
 
-from flamingotiller import clock, kernel
+from flamingotiller import clock, kernel, lease
 
 # A share that grows counts only after every process that may still use the older, larger share
 # of another zone has either learned of the change or stopped admitting requests.
 GROWTH_DELAY = clock.seconds(6)
 
-# Tokens that take longer than this from request to arrival are not credited.
-TRANSFER_LIFETIME = clock.seconds(1)
+# How long a request may wait for a token before it is refused.
+MAX_WAIT = clock.seconds(0.5)
+
+# A loan is void this long after it was asked for.
+LOAN_LIFETIME = clock.seconds(1)
+
+# A zone's share of a small burst would be full, and waste what it earns, while others are empty.
+MIN_SHARE_BURST = 25.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,11 +47,11 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Transfer:
-    """Tokens on their way to another place.
+class Loan:
+    """Tokens that one place lends another.
 
     Attributes:
-        number: Identifies the transfer at its donor.
+        number: Identifies the loan at its lender.
         tokens: How many.
     """
 
@@ -51,24 +59,46 @@
     tokens: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Settlement:
+    """What a borrower says of a loan; saying it again, or late, changes nothing more.
+
+    Attributes:
+        number: The loan.
+        spent: Tokens spent of it so far, in all.
+        unspent: Tokens given back; None while the loan goes on.
+    """
+
+    number: int
+    spent: float
+    unspent: float | None
+
+
+@dataclasses.dataclass
+class _OnLoan:
+    until: datetime.timedelta
+    lent: float
+    spent: float = 0.0
+
+
 class Bucket(abc.ABC):
     """Tokens of one organisation at one place."""
 
     @abc.abstractmethod
-    def take(self, now: datetime.timedelta) -> bool:
-        """Takes a token if there is one."""
+    def tokens(self, now: datetime.timedelta) -> float:
+        """Returns the tokens present."""
 
     @abc.abstractmethod
-    def give(self, wanted: float, now: datetime.timedelta) -> Transfer:
-        """Debits tokens for another place."""
+    def spend(self, wanted: float, now: datetime.timedelta) -> float:
+        """Takes up to ``wanted`` tokens and returns how many."""
 
     @abc.abstractmethod
-    def settle(self, number: int, now: datetime.timedelta) -> None:
-        """Notes that a transfer has arrived."""
+    def lend(self, wanted: float, now: datetime.timedelta) -> Loan:
+        """Debits tokens for another place."""
 
     @abc.abstractmethod
-    def redeem(self, tokens: float, waiting: int, now: datetime.timedelta) -> int:
-        """Credits tokens of another place and serves those that wait for them."""
+    def settle(self, settlement: Settlement, now: datetime.timedelta) -> None:
+        """Takes note of what has become of a loan."""
 
     @abc.abstractmethod
     def set_share(self, share: Share, now: datetime.timedelta) -> None:
@@ -79,8 +109,8 @@
 class EscrowBucket(Bucket):
     """Bucket of a zone's share; starts empty.
 
-    Tokens that it has given away count against its burst until they have arrived or can no
-    longer be used, so that those present and those under way never exceed the burst together.
+    Tokens on loan count against its burst until they are settled or void, so that those present
+    and those on loan never exceed the burst together.
 
     Args:
         share: The zone's share.
@@ -93,7 +123,7 @@
         self._tokens = 0.0
         self._at = now
         self._next_number = 1
-        self._under_way: dict[int, tuple[datetime.timedelta, float]] = {}
+        self._on_loan: dict[int, _OnLoan] = {}
 
     def tokens(self, now: datetime.timedelta) -> float:
         """Returns the tokens present."""
@@ -107,9 +137,9 @@
             self._accrue(due)
             self._share = share
         self._accrue(now)
-        for number, (until, _) in list(self._under_way.items()):
-            if now >= until:
-                del self._under_way[number]
+        for number, loan in list(self._on_loan.items()):
+            if now >= loan.until:
+                del self._on_loan[number]
 
     def _accrue(self, now: datetime.timedelta) -> None:
         if now <= self._at:
@@ -119,50 +149,37 @@
         self._at = now
 
     def _room(self) -> float:
-        return self._share.burst - sum(tokens for _, tokens in self._under_way.values())
+        return self._share.burst - sum(loan.lent - loan.spent for loan in self._on_loan.values())
 
-    def take(self, now: datetime.timedelta) -> bool:
-        """Takes a token if there is one."""
+    def spend(self, wanted: float, now: datetime.timedelta) -> float:
+        """Takes up to ``wanted`` tokens and returns how many."""
         self._refill(now)
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+        spent = max(0.0, min(wanted, self._tokens))
+        self._tokens -= spent
+        return spent
 
-    def give(self, wanted: float, now: datetime.timedelta) -> Transfer:
+    def lend(self, wanted: float, now: datetime.timedelta) -> Loan:
         """Debits up to ``wanted`` tokens."""
-        self._refill(now)
-        given = max(0.0, min(wanted, self._tokens))
+        lent = self.spend(wanted, now)
         number = self._next_number
-        if given:
+        if lent:
             self._next_number += 1
-            self._tokens -= given
-            self._under_way[number] = (now + 2 * TRANSFER_LIFETIME, given)
-        return Transfer(number, given)
+            self._on_loan[number] = _OnLoan(now + 2 * LOAN_LIFETIME, lent)
+        return Loan(number, lent)
 
-    def settle(self, number: int, now: datetime.timedelta) -> None:
-        """Notes that a transfer has arrived; later ones and unknown ones change nothing."""
-        # What the transfer kept from being refilled until now is not made up for.
-        self._refill(now)
-        self._under_way.pop(number, None)
-
-    def redeem(self, tokens: float, waiting: int, now: datetime.timedelta) -> int:
-        """Serves waiting requests from tokens of other places and from those present.
-
-        Args:
-            tokens: Tokens that arrived within ``TRANSFER_LIFETIME`` of being asked for.
-            waiting: Requests that wait.
-            now: Monotonic time.
-
-        Returns:
-            How many of the waiting requests have a token now. What is left over is kept up to
-            the share's burst: the donors may have refilled already.
-        """
+    def settle(self, settlement: Settlement, now: datetime.timedelta) -> None:
+        """Takes note of what has become of a loan; one that has ended changes nothing."""
+        # What the loan kept from being refilled until now is not made up for.
         self._refill(now)
-        available = self._tokens + tokens
-        served = min(waiting, int(available + 1e-9))
-        self._tokens = max(0.0, min(max(self._room(), 0.0), available - served))
-        return served
+        loan = self._on_loan.get(settlement.number)
+        if loan is None:
+            return
+        loan.spent = max(loan.spent, min(loan.lent, settlement.spent))
+        if settlement.unspent is None:
+            return
+        del self._on_loan[settlement.number]
+        back = max(0.0, min(loan.lent - loan.spent, settlement.unspent))
+        self._tokens = min(self._room(), self._tokens + back)
 
     def set_share(self, share: Share, now: datetime.timedelta) -> None:
         """Follows a change: what shrinks does so at once, what grows waits."""
@@ -177,15 +194,128 @@
 
 @kernel.limiters.register("static")
 class StaticBucket(EscrowBucket):
-    """Baseline for comparisons: the zone's share alone, with no transfers."""
+    """Baseline for comparisons: the zone's share alone, with no loans."""
+
+    def lend(self, wanted: float, now: datetime.timedelta) -> Loan:
+        """Lends nothing."""
+        return Loan(0, 0.0)
+
+
+@dataclasses.dataclass
+class HeldLoan:
+    """A loan at its borrower.
+
+    Attributes:
+        lender: Where it is to be settled.
+        number: Identifies it there.
+        left: Tokens not spent yet.
+        until: Borrower's time at which it is void.
+        spent: Tokens spent so far.
+        told: Tokens spent as of the last settlement.
+    """
+
+    lender: str
+    number: int
+    left: float
+    until: datetime.timedelta
+    spent: float = 0.0
+    told: float = 0.0
+
 
-    def give(self, wanted: float, now: datetime.timedelta) -> Transfer:
-        """Gives nothing."""
-        return Transfer(0, 0.0)
+class Purse:
+    """What one place may spend for an organisation: its own bucket and loans of other places.
+
+    Attributes:
+        bucket: The place's own share.
+    """
 
+    def __init__(self, bucket: Bucket) -> None:
+        self.bucket = bucket
+        self._ended: list[HeldLoan] = []
+        self._loans: list[HeldLoan] = []
 
-class BucketSet:
-    """The buckets of the shards that this instance holds.
+    def borrow(
+        self, lender: str, loan: Loan, asked: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Takes up a loan.
+
+        Args:
+            lender: Where it is to be settled.
+            loan: What was lent.
+            asked: When the request for it was sent.
+            now: Monotonic time.
+        """
+        if loan.tokens > 0:
+            held = HeldLoan(lender, loan.number, loan.tokens, asked + LOAN_LIFETIME)
+            self._loans.append(held)
+            self._drop_void(now)
+
+    def tokens(self, now: datetime.timedelta) -> float:
+        """Returns the tokens that can be spent now."""
+        self._drop_void(now)
+        return self.bucket.tokens(now) + sum(loan.left for loan in self._loans)
+
+    def take(self, now: datetime.timedelta) -> bool:
+        """Spends one token if there is one, loans first: they are void sooner."""
+        if self.tokens(now) < 1.0 - 1e-9:
+            return False
+        missing = 1.0
+        for loan in list(self._loans):
+            part = min(missing, loan.left)
+            loan.left -= part
+            loan.spent += part
+            missing -= part
+            if loan.left <= 0.0:
+                self._end(loan)
+        if missing > 0.0:
+            self.bucket.spend(missing, now)
+        return True
+
+    def _drop_void(self, now: datetime.timedelta) -> None:
+        for loan in [loan for loan in self._loans if now >= loan.until]:
+            self._end(loan)
+
+    def _end(self, loan: HeldLoan) -> None:
+        self._loans.remove(loan)
+        self._ended.append(loan)
+
+    def settlements(self, now: datetime.timedelta) -> list[tuple[str, Settlement]]:
+        """Returns what is to be told, by lender; each thing is returned once."""
+        self._drop_void(now)
+        told = [(o.lender, Settlement(o.number, o.spent, o.left)) for o in self._ended]
+        self._ended.clear()
+        for loan in self._loans:
+            if loan.spent > loan.told:
+                loan.told = loan.spent
+                told.append((loan.lender, Settlement(loan.number, loan.spent, None)))
+        return told
+
+
+def share_zones(
+    organisation: str, burst: float, zones: collections.abc.Collection[str]
+) -> list[str]:
+    """Returns the zones that have a share; of a small burst only a few do."""
+    count = max(1, min(len(zones), int(burst / MIN_SHARE_BURST)))
+    ordered = sorted(zones, key=lambda zone: lease.weight(organisation, zone))
+    return ordered[:count]
+
+
+def zone_share(
+    organisation: str,
+    rate: float,
+    burst: float,
+    zone: str,
+    zones: collections.abc.Collection[str],
+) -> Share:
+    """Returns the share of a zone; the shares of all zones sum to the contract."""
+    sharing = share_zones(organisation, burst, zones)
+    if zone not in sharing:
+        return Share(0.0, 0.0)
+    return Share(rate / len(sharing), burst / len(sharing))
+
+
+class PurseSet:
+    """The purses of the organisations whose shards this instance holds.
 
     Args:
         kind: Class of the buckets.
@@ -193,20 +323,15 @@
 
     def __init__(self, kind: type[Bucket]) -> None:
         self._kind: typing.Any = kind
-        self.bucket_by_organisation: dict[str, Bucket] = {}
+        self.purse_by_organisation: dict[str, Purse] = {}
 
-    def get(self, organisation: str, share: Share, now: datetime.timedelta) -> Bucket:
-        """Returns the bucket of an organisation, an empty one at first."""
-        bucket = self.bucket_by_organisation.get(organisation)
-        if bucket is None:
-            bucket = self.bucket_by_organisation[organisation] = self._kind(share, now)
-        return bucket
+    def get(self, organisation: str, share: Share, now: datetime.timedelta) -> Purse:
+        """Returns the purse of an organisation, an empty one at first."""
+        purse = self.purse_by_organisation.get(organisation)
+        if purse is None:
+            purse = self.purse_by_organisation[organisation] = Purse(self._kind(share, now))
+        return purse
 
     def drop(self, organisation: str) -> None:
-        """Forgets a bucket whose shard is not held any more; its tokens are lost."""
-        self.bucket_by_organisation.pop(organisation, None)
-
-
-def zone_share(rate: float, burst: float, zones: int) -> Share:
-    """Returns the share of each of ``zones`` zones."""
-    return Share(rate / zones, burst / zones)
+        """Forgets a purse whose shard is not held any more; its tokens are lost."""
+        self.purse_by_organisation.pop(organisation, None)
--- a/flamingotiller/metrics.py
+++ b/flamingotiller/metrics.py
@@ -15,6 +15,7 @@
     "flamingotiller_lookups_total": "look-ups answered",
     "flamingotiller_config_version": "configuration version in force",
     "flamingotiller_confirmation_age_seconds": "age of the last confirmation of the configuration",
+    "flamingotiller_wire_bytes": "bytes on all connections since the start, by direction",
     "flamingotiller_open_connections": "open connections of callers and peers",
     "flamingotiller_in_flight_requests": "requests that are being served",
     "flamingotiller_shard_leases": "shard leases held",
--- a/flamingotiller/peer_routes.py
+++ b/flamingotiller/peer_routes.py
@@ -59,15 +59,15 @@
     return await process.admission.on_message("/v1/tokens/take", body)
 
 
-@_route("/v1/tokens/give")
-async def give_tokens(process: entry.EntryInstance, body: typing.Any) -> typing.Any:
-    """Gives tokens to another zone."""
-    return await process.admission.on_message("/v1/tokens/give", body)
+@_route("/v1/tokens/lend")
+async def lend_tokens(process: entry.EntryInstance, body: typing.Any) -> typing.Any:
+    """Lends tokens to another zone."""
+    return await process.admission.on_message("/v1/tokens/lend", body)
 
 
 @_route("/v1/tokens/settle")
 async def settle_tokens(process: entry.EntryInstance, body: typing.Any) -> typing.Any:
-    """Notes that tokens have arrived."""
+    """Ends loans."""
     return await process.admission.on_message("/v1/tokens/settle", body)
 
 
@@ -84,7 +84,7 @@
         release = slots.Release(**body)
     except TypeError as error:
         raise errors.InvalidInputError(f"bad release: {error}", step="release") from error
-    process.slots.release_here(release)
+    await process.slots.release_here(release)
     return {}
 
 
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -360,7 +360,10 @@
         except dispatch.ShedError:
             result = "shed"
             raise
-        except (errors.ConnectError, errors.ConnectionLostError):
+        except errors.ConnectError:
+            result = "unreachable"
+            raise
+        except errors.ConnectionLostError:
             result = "died"
             raise
         finally:
@@ -373,7 +376,11 @@
                 ),
                 byte_count=exchange.byte_count,
             )
-            self._process.background(self._process.slots.release(granted, release))
+            # Before this request is tried or sent again, its part in a death must be known.
+            if result == "died":
+                await self._process.slots.release(granted, release)
+            else:
+                self._process.background(self._process.slots.release(granted, release))
 
     def _cut(self, work: dispatch.Work, granted: slots.Granted, error: Exception) -> None:
         """Gives up an answer that has begun; the server cuts the caller's connection.
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -396,6 +396,12 @@
         if self._server:
             self._server.close()
 
+    def abort(self) -> None:
+        """Ends everything at once, as when the process dies."""
+        self.stop_listening()
+        for link in list(self._task_by_link):
+            link.abort()
+
     async def close(self, grace: datetime.timedelta = clock.ZERO) -> None:
         """Stops listening, waits up to ``grace`` for requests under way, then ends the rest."""
         self.stop_listening()
--- a/flamingotiller/settings.py
+++ b/flamingotiller/settings.py
@@ -108,7 +108,7 @@
         description="age of the last confirmation past which keyed routes are refused",
     )
     lease: contract.Duration = pydantic.Field(
-        default=clock.seconds(3), description="length of a shard lease within the zone"
+        default=clock.seconds(4), description="length of a shard lease within the zone"
     )
     gossip_interval: contract.Duration = pydantic.Field(
         default=clock.seconds(1), description="interval between membership exchanges"
--- a/flamingotiller/shards.py
+++ b/flamingotiller/shards.py
@@ -13,7 +13,7 @@
     from flamingotiller import entry
 
 TIMEOUT = clock.seconds(0.5)
-MAX_HOPS = 3
+MAX_VOTERS = 5
 
 
 class Shards:
@@ -30,6 +30,7 @@
         self._holder = lease.Holder(process.config.instance, self._duration)
         self._held: set[int] = set()
         self._warned = False
+        self._released = asyncio.Event()
 
     @property
     def held(self) -> set[int]:
@@ -42,15 +43,24 @@
         zone = deployment.zones_by_name.get(self._process.config.zone) if deployment else None
         return zone.seats if zone else ()
 
+    def voters(self) -> tuple[str, ...]:
+        """Returns the seats whose majority grants leases; a few, however large the zone is."""
+        return self.seats()[:MAX_VOTERS]
+
     def holds(self, shard: int) -> bool:
         """Returns whether this instance holds a shard now."""
-        return self._holder.holds(shard, self.seats(), self._process.clock.monotonic())
+        return self._holder.holds(shard, self.voters(), self._process.clock.monotonic())
 
     async def run(self) -> None:
-        """Renews leases four times within their length."""
+        """Renews leases three times within their length, and at once when one is given up."""
         while True:
+            self._released.clear()
             await self._renew()
-            await asyncio.sleep((self._duration / 4).total_seconds())
+            try:
+                async with asyncio.timeout((self._duration / 3).total_seconds()):
+                    await self._released.wait()
+            except TimeoutError:
+                continue
 
     async def _renew(self) -> None:
         if self._process.config.instance not in self.seats():
@@ -104,7 +114,9 @@
         own = self._process.table.own
         body = {"holder": own.instance, "epoch": own.epoch, "shards": shards}
         sent = self._process.clock.monotonic()
-        granted = self.voter.ask(shards, own.instance, own.epoch, sent)
+        granted = []
+        if own.instance in self.voters():
+            granted = self.voter.ask(shards, own.instance, own.epoch, sent)
         self._holder.on_granted(own.instance, granted, sent)
         await asyncio.gather(
             *(self._ask_voter(name, address, body) for name, address in self._other_voters())
@@ -115,7 +127,7 @@
         own = self._process.config.instance
         return [
             (seat, members[seat].address)
-            for seat in self.seats()
+            for seat in self.voters()
             if seat != own and seat in members
         ]
 
@@ -175,9 +187,10 @@
         own = self._process.config.instance
         if body.get("release"):
             self.voter.release(shards, holder, epoch)
+            self._released.set()
             return {"voter": own, "granted": []}
-        # Only seats vote and only seats hold, or majorities of different sets could differ.
-        if own not in self.seats() or holder not in self.seats():
+        # Majorities of different sets could differ, so only those that all count may vote.
+        if own not in self.voters() or holder not in self.seats():
             return {"voter": own, "granted": []}
         now = self._process.clock.monotonic()
         return {"voter": own, "granted": self.voter.ask(shards, holder, epoch, now)}
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import dataclasses
 import datetime
 import typing
@@ -25,6 +26,7 @@
     from flamingotiller import entry
 
 PUMP_INTERVAL = clock.seconds(0.02)
+IDLE_PUMP_INTERVAL = clock.seconds(0.2)
 SPILL_TIMEOUT = clock.seconds(0.5)
 RELEASE_TIMEOUT = clock.seconds(1)
 SPILL_PAUSE = clock.seconds(0.05)
@@ -104,7 +106,8 @@
     Attributes:
         number: The permit.
         service: The service.
-        result: ``done``, ``shed``, ``died`` (connection broke without an answer) or ``unused``.
+        result: ``done``, ``failed``, ``shed``, ``unreachable`` (no connection), ``died``
+            (connection broke without a whole answer) or ``unused``.
         fingerprint: Of the request.
         byte_count: Bytes that crossed, both ways.
         hops: How often it has been passed on.
@@ -170,7 +173,7 @@
     async def release(self, granted: Granted, release: Release) -> None:
         """Gives a permit back to the queue that granted it."""
         if not granted.queue or granted.queue == self._process.address:
-            self.release_here(release)
+            await self.release_here(release)
             return
         try:
             await self._process.client.call(
@@ -305,7 +308,9 @@
     async def run(self) -> None:
         """Lets deadlines, pauses and announcements run out."""
         while True:
-            await asyncio.sleep(PUMP_INTERVAL.total_seconds())
+            waiting = any(queue.waiting for queue in self.queue_by_service.values())
+            pause = PUMP_INTERVAL if waiting else IDLE_PUMP_INTERVAL
+            await asyncio.sleep(pause.total_seconds())
             now = self._process.clock.monotonic()
             for queue in list(self.queue_by_service.values()):
                 self._apply_drains(queue)
@@ -326,7 +331,7 @@
             events.ENDPOINT_LEFT, endpoint=endpoint.name, service=endpoint.service, reason=reason
         )
 
-    def release_here(self, release: Release) -> None:
+    async def release_here(self, release: Release) -> None:
         """Takes a permit back as the holder that granted it."""
         queue = self.queue_by_service.get(release.service)
         if queue is None:
@@ -336,14 +341,19 @@
         region = self._spilled_from.pop(release.number, "")
         if region:
             self._link(region, now).spend(release.byte_count, now)
+        spread = None
         if release.result == "died" and endpoint:
-            self._on_death(queue, release.number, endpoint, now)
+            spread = self._on_death(queue, release.number, endpoint, now)
+        elif release.result == "unreachable" and endpoint:
+            queue.pause(endpoint, now, selection.DEATH_PAUSE)
         elif release.result == "shed" and endpoint:
             queue.pause(endpoint, now, selection.SHED_PAUSE)
         elif release.result == "done":
             self.suspects.on_finished(release.fingerprint)
         queue.release(release.number)
         self.pump(queue)
+        if spread:
+            await spread
 
     # Crashing requests
 
@@ -357,17 +367,18 @@
 
     def _on_death(
         self, queue: selection.SlotQueue, number: int, endpoint: str, now: datetime.timedelta
-    ) -> None:
+    ) -> collections.abc.Awaitable[None] | None:
+        """Notes a death; returns the work of telling the other zones, if there is any."""
         prints = queue.on_death(number)
         if not prints:
-            return
+            return None
         queue.pause(endpoint, now, selection.DEATH_PAUSE)
         events.emit(events.ENDPOINT_DIED, endpoint=endpoint, in_flight=len(prints))
         newly = self.suspects.on_death(prints, now)
         queue.mark_suspects(lambda print_: self.suspects.is_suspect(print_, now))
         held = self.suspects.suspect_by_fingerprint
         deaths = {p: held[p].deaths for p in prints if p in held}
-        self._process.background(self._spread(queue.service, deaths, newly))
+        return self._spread(queue.service, deaths, newly)
 
     async def _spread(self, service: str, deaths: dict[str, int], newly: dict[str, int]) -> None:
         body = {"service": service, "deaths": deaths, "quarantined": sorted(newly)}
@@ -376,7 +387,8 @@
         zones = lookup.neighbours(self._process.feed.view, self._process.config.zone)
         await asyncio.gather(*(self._tell_zone(zone, body) for zone in zones))
         for print_, count in newly.items():
-            await self._process.control.report_quarantine(print_, f"{count} endpoints died")
+            report = self._process.control.report_quarantine(print_, f"{count} endpoints died")
+            self._process.background(report)
 
     async def _tell_zone(self, zone: str, body: dict[str, typing.Any]) -> None:
         for address in self._process.table.addresses_in(zone)[:2]:
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import datetime
 import typing
 
@@ -17,6 +18,23 @@
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 
 
+@dataclasses.dataclass
+class Traffic:
+    """Bytes that have crossed links.
+
+    Attributes:
+        read: Bytes received.
+        written: Bytes sent.
+    """
+
+    read: int = 0
+    written: int = 0
+
+
+# Of every link in this process, for metrics.
+total_traffic = Traffic()
+
+
 class Link(asyncio.Protocol):
     """A transport joined to an h11 state machine.
 
@@ -65,6 +83,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffers what the peer sent; part of ``asyncio.Protocol``."""
         self.bytes_read += len(data)
+        total_traffic.read += len(data)
         self.h11.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_HIGH_WATER_BYTES and not self._paused:
@@ -167,6 +186,7 @@
         except h11.LocalProtocolError as error:
             raise errors.ProtocolError(str(error), step="send", peer=self.peer) from error
         self.bytes_written += len(data)
+        total_traffic.written += len(data)
         self.transport.write(data)
         while self._write_paused and not self.lost:
             self._write_waiter = asyncio.get_running_loop().create_future()
--- a/tests/test_build_dist.py
+++ b/tests/test_build_dist.py
@@ -5,11 +5,10 @@
 import subprocess
 import sys
 
-import processes
 import pytest
 import test_processes
 
-from tools import build_dist
+from tools import build_dist, processes
 
 
 @pytest.fixture(scope="module")
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,277 @@
+"""Failures over separate processes: kills, lost disks, freezes, silent cuts, racing operators."""
+
+import contextlib
+import json
+import shutil
+import signal
+import threading
+import time
+
+import proxy
+import pytest
+import test_processes
+
+from tools import processes
+
+SEATS = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1"]}
+CONTROLS = ["control-1", "control-2", "control-3"]
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with processes.running(tmp_path) as made:
+        yield made
+
+
+def start_controls(fleet, names=CONTROLS):
+    fleet.found(names)
+    for name in names:
+        fleet.start_control(name)
+
+
+def start_all(fleet, seats=SEATS):
+    start_controls(fleet)
+    for zone, names in seats.items():
+        for name in names:
+            fleet.start_entry(name, zone)
+    return test_processes.configure(fleet, seats)
+
+
+def leader(fleet):
+    return fleet.json("status")["leader"].split(".")[0]
+
+
+def until_served(fleet, names, key):
+    for name in names:
+        address = fleet.address_by_name[name]
+        processes.eventually(lambda address=address: test_processes.served(address, key))
+
+
+def test_changes_survive_the_loss_of_the_leader_and_of_its_disk(fleet):
+    start_controls(fleet)
+    (fleet.folder / "deployment.toml").write_text(test_processes.deployment(SEATS))
+    fleet.run("apply", "deployment.toml")
+    for number in range(30):
+        fleet.run("drain", "start", "zone", f"z{number}") if number % 10 == 0 else None
+    lost = leader(fleet)
+    fleet.kill(lost)
+    shutil.rmtree(fleet.folder / lost)
+    accepted = fleet.json("drain", "start", "zone", "after")
+    assert accepted["accepted"]
+    # The instance comes back with a blank disk: a new member that does not vote.
+    fleet.restart(lost)
+    processes.eventually(lambda: "E2012" in fleet.log(lost))
+    identity = fleet.log(lost).split("identity=")[1].split()[0]
+    assert identity != f"{lost}.0"
+    fleet.run("members", "add", identity, fleet.address_by_name[lost])
+    processes.eventually(
+        lambda: fleet.run("members", "promote", identity, check=False).returncode == 0
+    )
+    fleet.run("members", "remove", f"{lost}.0")
+    # A second instance is lost right after the repair.
+    second = next(n for n in CONTROLS if n not in (lost, leader(fleet)))
+    fleet.kill(second)
+    assert fleet.json("drain", "start", "zone", "later")["accepted"]
+    held = set(fleet.json("drain", "list"))
+    assert held == {"zone/z0", "zone/z10", "zone/z20", "zone/after", "zone/later"}
+
+
+def test_without_a_majority_nothing_is_accepted_and_a_resend_decides(fleet):
+    start_controls(fleet)
+    fleet.run("drain", "start", "zone", "before")
+    first = leader(fleet)
+    others = [n for n in CONTROLS if n != first]
+    for name in others:
+        fleet.signal(name, signal.SIGSTOP)
+    refused = fleet.run("drain", "start", "zone", "x", "--change_id=one", check=False)
+    assert refused.returncode == 6
+    assert "change id one" in refused.stderr
+    for name in others:
+        fleet.signal(name, signal.SIGCONT)
+    answers = [
+        json.loads(fleet.run("drain", "start", "zone", "x", "--change_id=one", "--json").stdout)
+        for _ in range(2)
+    ]
+    assert answers[0] == answers[1]
+    assert answers[0]["accepted"]
+    rows = [r for r in fleet.json("audit") if r["change_id"] == "one"]
+    assert len(rows) == 1
+
+
+def test_of_racing_operators_one_wins_and_the_other_sees_the_winner(fleet):
+    start_controls(fleet, ["control-1"])
+    (fleet.folder / "growers.toml").write_text(test_processes.CONTRACT)
+    results = {}
+
+    def apply(name):
+        results[name] = fleet.run(
+            "apply", "growers.toml", "--base=0", f"--change_id={name}", check=False
+        )
+
+    threads = [threading.Thread(target=apply, args=(name,)) for name in ("one", "two")]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    codes = sorted(result.returncode for result in results.values())
+    assert codes == [0, 4]
+    winner, loser = sorted(results, key=lambda name: results[name].returncode)
+    assert f"came first: {winner}" in results[loser].stderr
+
+
+def test_killed_and_frozen_holders_are_replaced(fleet):
+    key = start_all(fleet)
+    names = SEATS["a"]
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}) as made:
+        for endpoint in made:
+            endpoint._entries += [fleet.address_by_name[n] for n in names]
+        until_served(fleet, names, key)
+        for victim, number in ((names[0], signal.SIGKILL), (names[1], signal.SIGSTOP)):
+            fleet.signal(victim, number)
+            others = [n for n in names if n != victim]
+            if number == signal.SIGSTOP:
+                # Two of three seats must be there for a majority.
+                fleet.restart(names[0])
+                others = [names[0], names[2]]
+            until_served(fleet, others, key)
+        time.sleep(2)
+        fleet.signal(names[1], signal.SIGCONT)
+        until_served(fleet, names, key)
+
+
+def test_key_withdrawn_during_a_silent_cut_stops_working_everywhere(fleet):
+    start_controls(fleet)
+    addresses = dict(fleet.address_by_name)
+    with contextlib.ExitStack() as stack:
+        links = []
+        for name in CONTROLS:
+            link = proxy.Proxy(addresses[name])
+            stack.callback(link.close)
+            links.append(link)
+        fleet.start_entry("a-1", "a")
+        fleet.address_by_name.update(
+            {n: link.address for n, link in zip(CONTROLS, links, strict=True)}
+        )
+        fleet.start_entry("b-1", "b")
+        fleet.address_by_name.update(addresses)
+        key = test_processes.configure(fleet, {"a": ["a-1"], "b": ["b-1"]})
+        stack.enter_context(test_processes.endpoints(fleet, {"e1": "a-1", "e2": "b-1"}))
+        until_served(fleet, ["a-1", "b-1"], key)
+        for link in links:
+            link.set(silent=True)
+        fleet.run("key", "withdraw", "growers", key.split(".")[1])
+        withdrawn = time.monotonic()
+        for name in ("a-1", "b-1"):
+            address = fleet.address_by_name[name]
+            processes.eventually(
+                lambda address=address: test_processes.send(address, "GET", "/names", key)[0]
+                in (401, 503)
+            )
+        # The bound of the brief's "within seconds" is the stated one: 5 s.
+        assert time.monotonic() - withdrawn < 5.0
+        status, _, body = test_processes.send(fleet.address_by_name["b-1"], "GET", "/names", key)
+        assert status == 503
+        assert json.loads(body)["error"] == "not-confirmed"
+        for link in links:
+            link.set()
+        address = fleet.address_by_name["b-1"]
+        processes.eventually(lambda: test_processes.send(address, "GET", "/names", key)[0] == 401)
+
+
+def test_process_that_missed_hundreds_of_changes_catches_up(fleet):
+    start_controls(fleet)
+    behind = next(n for n in CONTROLS if n != leader(fleet))
+    fleet.kill(behind)
+    accepted = many_changes(fleet, 300)
+    fleet.restart(behind)
+    processes.eventually(lambda: all(m["behind"] == 0 for m in fleet.json("status")["members"]), 30)
+    other = next(n for n in CONTROLS if n not in (behind, leader(fleet)))
+    fleet.kill(other)
+    assert len(fleet.json("drain", "list")) == accepted
+
+
+def many_changes(fleet, count):
+    import asyncio
+
+    from flamingotiller import porcelain
+
+    async def work():
+        servers = [fleet.address_by_name[n] for n in CONTROLS]
+        async with porcelain.connect(servers, processes.OPERATOR_TOKEN) as operator:
+            for number in range(count):
+                await operator.start_drain("zone", f"z{number}", "x")
+
+    asyncio.run(work())
+    return count
+
+
+def test_planned_stop_under_load_cuts_nothing(fleet):
+    # A majority of the seats must stay, so a zone that is to outlive a stop has three.
+    seats = {"a": ["a-1", "a-2", "a-3"]}
+    start_controls(fleet, ["control-1"])
+    for name in seats["a"]:
+        fleet.start_entry(name, "a")
+    key = test_processes.configure(fleet, seats)
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}) as made:
+        for endpoint in made:
+            endpoint._entries += [fleet.address_by_name[n] for n in seats["a"]]
+        until_served(fleet, seats["a"], key)
+        results, stop = [], threading.Event()
+        threads = [
+            threading.Thread(target=load, args=(fleet, key, results, stop)) for _ in range(6)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(1)
+        fleet.signal("a-1", signal.SIGTERM)
+        assert fleet.process_by_name["a-1"].wait(30) == 0
+        time.sleep(0.5)
+        stop.set()
+        for thread in threads:
+            thread.join()
+    cut = [result for result in results if result[0] != 200]
+    assert len(results) > 100
+    assert not cut, (len(results), cut[:5])
+
+
+def load(fleet, key, results, stop):
+    """A caller as the interface asks for: it looks up again when an answer has run out."""
+    instances, until = [], 0.0
+    addresses = [fleet.address_by_name["a-1"], fleet.address_by_name["a-2"]]
+    while not stop.is_set():
+        if time.monotonic() >= until:
+            for address in [*instances, *addresses]:
+                status, _, body = test_processes.send(
+                    address, "GET", "/v1/lookup?organisation=growers"
+                )
+                if status == 200:
+                    found = json.loads(body)
+                    instances = [row["address"] for row in found["instances"]]
+                    until = time.monotonic() + found["lifetime_s"]
+                    break
+        status, _, body = test_processes.send(instances[0], "GET", "/names?work_s=0.01", key)
+        results.append((status, body))
+
+
+def test_request_that_crashes_endpoints_is_refused_after_a_few(fleet):
+    seats = {"a": ["a-1"], "b": ["b-1"]}
+    start_controls(fleet, ["control-1"])
+    fleet.start_entry("a-1", "a")
+    fleet.start_entry("b-1", "b")
+    key = test_processes.configure(fleet, seats)
+    names = {f"e{n}": ("a-1" if n % 2 else "b-1") for n in range(8)}
+    with test_processes.endpoints(fleet, names) as made:
+        until_served(fleet, ["a-1", "b-1"], key)
+        target = "/names?crash=1"
+        processes.eventually(lambda: sum(1 for e in made if e.runs) >= 1)
+        for number in range(20):
+            address = fleet.address_by_name["a-1" if number % 2 else "b-1"]
+            status, _, body = test_processes.send(address, "GET", target, key)
+            if status == 403:
+                break
+        assert json.loads(body)["error"] == "quarantined"
+        crashed = [e for e in made if any(run.target == target for run in e.runs)]
+        assert 1 <= len(crashed) <= 3
+        listed = processes.eventually(lambda: fleet.json("quarantine", "list"))
+        fleet.run("quarantine", "lift", next(iter(listed)))
+        until_served(fleet, ["a-1", "b-1"], key)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -93,6 +93,20 @@
     assert ahead.age() is None
 
 
+def test_old_report_that_comes_over_another_path_does_not_count():
+    source = clock.ManualClock(clock.seconds(100))
+    parent, child = new_feed("p", source), new_feed("c", source)
+    old = child.subscription(now=True)
+    apply(child, 0)
+    asyncio.run(parent.answer(child.subscription(now=True)))
+    asyncio.run(parent.answer(old))
+    assert parent.reports()["c"].version == 1
+    for _ in range(3):
+        source.advance(feed.REPORT_LIFETIME / 2)
+        asyncio.run(parent.answer(old))
+    assert "c" not in parent.reports()
+
+
 @pytest.mark.parametrize("answer", [{}, {"version": 1, "delta": {}, "age_s": 0, "held_s": 0}])
 def test_malformed_answer_is_refused(answer):
     item = new_feed("a", clock.ManualClock())
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -20,18 +20,20 @@
     def __init__(self):
         super().__init__()
         self.now = clock.seconds(10)
-        self.buckets = [self.new() for _ in range(ZONES)]
-        self.transfers = []
+        self.purses = [self.new() for _ in range(ZONES)]
+        self.loans = []
+        self.told = []
         # The oracle: one bucket of the whole contract, full at the start.
         self.level = self.burst
         self.level_at = self.now
 
     def new(self):
-        return self.kind(limiter.zone_share(self.rate, self.burst, ZONES), self.now)
+        share = limiter.Share(self.rate / ZONES, self.burst / ZONES)
+        return limiter.Purse(self.kind(share, self.now))
 
-    def admitted(self, count=1):
+    def admitted(self):
         gained = (self.now - self.level_at).total_seconds() * self.rate
-        self.level = min(self.burst, self.level + gained) - count
+        self.level = min(self.burst, self.level + gained) - 1
         self.level_at = self.now
         assert self.level >= -1e-6, "more than rate and burst were admitted"
 
@@ -42,42 +44,55 @@
     @stateful.rule(zone=st.integers(0, ZONES - 1), times=st.integers(1, 8))
     def take(self, zone, times):
         for _ in range(times):
-            if self.buckets[zone].take(self.now):
+            if self.purses[zone].take(self.now):
                 self.admitted()
+        self.told += self.purses[zone].settlements(self.now)
 
     @stateful.rule(
-        donor=st.integers(0, ZONES - 1),
+        lender=st.integers(0, ZONES - 1),
         zone=st.integers(0, ZONES - 1),
         wanted=st.floats(0.5, 8),
+        lag=st.sampled_from([0, 0.02, 0.5]),
     )
-    def pull(self, donor, zone, wanted):
-        if donor != zone:
-            transfer = self.buckets[donor].give(wanted, self.now)
-            self.transfers.append((donor, zone, transfer, self.now))
-
-    @stateful.rule(number=st.integers(0, 99), waiting=st.integers(0, 6), settle=st.booleans())
-    def arrive(self, number, waiting, settle):
-        if not self.transfers:
+    def ask(self, lender, zone, wanted, lag):
+        if lender != zone:
+            asked = self.now
+            self.now += clock.seconds(lag)
+            loan = self.purses[lender].bucket.lend(wanted, self.now)
+            self.loans.append((lender, zone, loan, asked))
+
+    @stateful.rule(number=st.integers(0, 99))
+    def arrive(self, number):
+        if self.loans:
+            lender, zone, loan, asked = self.loans.pop(number % len(self.loans))
+            self.purses[zone].borrow(str(lender), loan, asked, self.now)
+
+    @stateful.rule(number=st.integers(0, 99), doubled=st.booleans())
+    def settle(self, number, doubled):
+        if not self.told:
             return
-        donor, zone, transfer, sent = self.transfers.pop(number % len(self.transfers))
-        tokens = transfer.tokens if self.now - sent <= limiter.TRANSFER_LIFETIME else 0.0
-        self.admitted(self.buckets[zone].redeem(tokens, waiting, self.now))
-        if settle:
-            self.buckets[donor].settle(transfer.number, self.now)
+        lender, told = self.told[number % len(self.told)]
+        if not doubled:
+            self.told.remove((lender, told))
+        self.purses[int(lender)].bucket.settle(told, self.now)
 
     @stateful.rule(number=st.integers(0, 99))
     def lose_message(self, number):
-        if self.transfers:
-            self.transfers.pop(number % len(self.transfers))
+        if self.loans:
+            self.loans.pop(number % len(self.loans))
+        if self.told:
+            self.told.pop(number % len(self.told))
 
     @stateful.rule(zone=st.integers(0, ZONES - 1))
     def holder_restarts_or_moves(self, zone):
-        self.buckets[zone] = self.new()
+        self.purses[zone] = self.new()
+        # Numbers of the old bucket mean nothing to the new one.
+        self.told = [item for item in self.told if item[0] != str(zone)]
 
     @stateful.invariant()
     def shares_fit(self):
-        if isinstance(self.buckets[0], limiter.EscrowBucket):
-            assert sum(b.tokens(self.now) for b in self.buckets) <= self.burst + 1e-6
+        present = sum(purse.bucket.tokens(self.now) for purse in self.purses)
+        assert present <= self.burst + 1e-6
 
 
 EscrowMachine.TestCase.settings = hypothesis.settings(
@@ -95,28 +110,30 @@
 
 
 class CreditsBeforeDebit(limiter.EscrowBucket):
-    """Mistake: gives tokens without debiting them."""
+    """Mistake: lends tokens without debiting them."""
 
-    def give(self, wanted, now):
+    def lend(self, wanted, now):
         self._refill(now)
-        return limiter.Transfer(1, min(wanted, self._tokens))
+        return limiter.Loan(1, min(wanted, self._tokens))
 
 
-class ForgetsTransfers(limiter.EscrowBucket):
-    """Mistake: refills while what it gave is still under way."""
+class ForgetsLoans(limiter.EscrowBucket):
+    """Mistake: refills while what it lent is not spent yet."""
 
-    def give(self, wanted, now):
-        transfer = super().give(wanted, now)
-        self._under_way.clear()
-        return transfer
+    def lend(self, wanted, now):
+        loan = super().lend(wanted, now)
+        self._on_loan.clear()
+        return loan
 
 
-def give_and_refill(machine):
-    """A donor gives all, refills while the tokens are under way, and all is spent at once."""
+def lend_and_refill(machine):
+    """A lender lends all, refills while the loan is under way, and all is spent at once."""
     machine.now += clock.seconds(100)
-    machine.pull(0, 1, 4.0)
+    machine.ask(0, 1, 4.0, 0)
     machine.now += clock.seconds(0.9)
-    machine.arrive(0, 8, True)
+    machine.arrive(0)
+    machine.take(1, 8)
+    machine.settle(0, False)
     for zone in range(ZONES):
         machine.take(zone, 8)
 
@@ -134,8 +151,8 @@
     ("mistake", "history"),
     [
         (FullAfterRestart, restart_when_spent),
-        (CreditsBeforeDebit, give_and_refill),
-        (ForgetsTransfers, give_and_refill),
+        (CreditsBeforeDebit, lend_and_refill),
+        (ForgetsLoans, lend_and_refill),
     ],
 )
 def test_planted_mistake_is_caught(mistake, history):
@@ -163,8 +180,34 @@
 
 def test_fractions_of_many_zones_make_whole_tokens():
     now = clock.seconds(0)
-    buckets = [limiter.EscrowBucket(limiter.zone_share(6, 3, 6), now) for _ in range(6)]
+    share = limiter.Share(1, 0.5)
+    purses = [limiter.Purse(limiter.EscrowBucket(share, now)) for _ in range(6)]
     now = clock.seconds(10)
-    assert not buckets[0].take(now)
-    gained = sum(b.give(1, now).tokens for b in buckets[1:])
-    assert buckets[0].redeem(gained, 5, now) == 3
+    assert not purses[0].take(now)
+    for lender in purses[1:]:
+        purses[0].borrow("x", lender.bucket.lend(1, now), now, now)
+    assert [purses[0].take(now) for _ in range(4)] == [True, True, True, False]
+
+
+def test_unspent_loan_goes_back_and_a_void_one_is_not_spent():
+    now = clock.seconds(100)
+    lender = limiter.EscrowBucket(limiter.Share(0.001, 10), clock.seconds(-100000))
+    borrower = limiter.Purse(limiter.EscrowBucket(limiter.Share(0, 0), now))
+    borrower.borrow("x", lender.lend(4, now), now, now)
+    assert borrower.take(now)
+    now += limiter.LOAN_LIFETIME
+    assert not borrower.take(now)
+    ((_, told),) = borrower.settlements(now)
+    lender.settle(told, now)
+    assert round(lender.tokens(now)) == 9
+    lender.settle(told, now)
+    assert round(lender.tokens(now)) == 9
+
+
+@pytest.mark.parametrize(("burst", "count"), [(1, 1), (49, 1), (50, 2), (150, 6), (9999, 6)])
+def test_shares_sum_to_the_contract(burst, count):
+    zones = [f"z{number}" for number in range(6)]
+    shares = [limiter.zone_share("o", 30.0, burst, zone, zones) for zone in zones]
+    assert sum(share.rate for share in shares) == pytest.approx(30.0)
+    assert sum(share.burst for share in shares) == pytest.approx(burst)
+    assert sum(share.rate > 0 for share in shares) == count
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -6,10 +6,10 @@
 import json
 import signal
 
-import processes
 import pytest
 
 from flamingotiller import endpoint_emulator
+from tools import processes
 
 CONTRACT = """
 organisation = "growers"
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,308 @@
+"""The measuring command: runs the project's experiments, prints one table and writes the figures to
+``build/measurements.json`` and plots beside it. Figures inform; they never decide a build."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import pathlib
+import random
+import time
+import typing
+
+from flamingotiller import address_blocks, configuration
+from tools import live, metering, queueing
+
+BUILD = pathlib.Path("build")
+POLICIES = ("slot_permits", "least_own", "two_choices", "random", "least_reported")
+LOADS = (0.6, 0.85, 0.95, 1.2)
+
+
+@dataclasses.dataclass(frozen=True)
+class Figure:
+    """One measured figure.
+
+    Attributes:
+        name: What was measured.
+        value: The figure.
+        unit: Its unit; ``x`` for a ratio within one run.
+        target: The stated bound as text, empty for none.
+        holds: Whether the bound holds, None without one.
+        seed: Seed, None for live measurements.
+        compared_with: What a ratio compares with.
+    """
+
+    name: str
+    value: float
+    unit: str
+    target: str = ""
+    holds: bool | None = None
+    seed: int | None = None
+    compared_with: str = ""
+
+
+def figure(name, value, unit, target=None, seed=None, compared_with="") -> Figure:
+    """Builds a figure; ``target`` is a pair such as ``("<=", 1.1)``."""
+    if target is None:
+        return Figure(name, round(value, 5), unit, seed=seed, compared_with=compared_with)
+    sign, bound = target
+    holds = value <= bound if sign == "<=" else value >= bound
+    return Figure(name, round(value, 5), unit, f"{sign} {bound:g}", holds, seed, compared_with)
+
+
+def selection(seed: int) -> list[Figure]:
+    """Compares the selection policies with a central queue."""
+    figures = []
+    for load in LOADS:
+        central = queueing.run(queueing.Setup("central", load, seed=seed))
+        for policy in POLICIES:
+            lag = 1.0 if policy == "least_reported" else 0.0
+            found = queueing.run(queueing.Setup(policy, load, seed=seed, report_lag_s=lag))
+            name = f"selection/{policy}/{load:.0%}"
+            ours = policy == "slot_permits"
+            ratio = found.quantile(0.99) / central.quantile(0.99)
+            goodput = found.served_part() / central.served_part()
+            overruns = found.overruns / sum(found.offered_by_organisation.values())
+            against = "central queue of the same run"
+            p99 = ("<=", 1.1) if ours and load == 0.85 else None
+            good = (">=", 0.97) if ours and load == 1.2 else None
+            over = ("<=", 0.001) if ours and load == 0.95 else None
+            figures += [
+                figure(f"{name}/p99", ratio, "x", p99, seed, against),
+                figure(f"{name}/goodput", goodput, "x", good, seed, against),
+                figure(f"{name}/overruns", overruns, "part of requests", over, seed),
+            ]
+    return figures
+
+
+def fairness(seed: int) -> list[Figure]:
+    """Sends one organisation at five times its part and looks at the worst of the others."""
+    names = [f"o{number}" for number in range(8)]
+    even = tuple((name, 1 / 8) for name in names)
+    # At 70% of the slots each has 8.75%; one of them then sends five times that.
+    flood = tuple((name, 5.0 if name == "o0" else 1.0) for name in names)
+    calm = queueing.run(queueing.Setup("slot_permits", 0.7, weights=even, seed=seed))
+    loud = queueing.run(queueing.Setup("slot_permits", 0.7 * 12 / 8, weights=flood, seed=seed))
+    others = names[1:]
+    served = min(loud.served_part(name) for name in others)
+    ratio = max(loud.quantile(0.99, n) / calm.quantile(0.99, n) for n in others)
+    return [
+        figure("fairness/worst-served other", served, "part served", (">=", 0.99), seed),
+        figure(
+            "fairness/worst p99 of the others", ratio, "x", ("<=", 1.5), seed, "without the flood"
+        ),
+    ]
+
+
+def rates(seed: int) -> list[Figure]:
+    """Compares limiters over patterns of arrival."""
+    figures = []
+    for kind in ("escrow", "static"):
+        for pattern in ("uniform", "skewed", "one-zone", "burst"):
+            for rate, burst in ((10.0, 20.0), (50.0, 60.0), (500.0, 300.0)):
+                seconds = 20_000 / rate
+                setup = metering.Setup(
+                    kind, pattern, rate=rate, burst=burst, seconds=seconds, seed=seed
+                )
+                found = metering.run(setup)
+                name = f"rate/{kind}/{pattern}/{rate:g} per s, burst {burst:g}"
+                wrongful = found.wrongful / found.entitled
+                bound = ("<=", 0.001) if kind == "escrow" else None
+                figures.append(
+                    figure(f"{name}/wrongful", wrongful, "part of entitled", bound, seed)
+                )
+                figures.append(figure(f"{name}/over", found.over, "requests", ("<=", 0.0), seed))
+                if kind == "escrow":
+                    wait = 1000 * found.wait_p99_s
+                    figures.append(figure(f"{name}/wait p99", wait, "ms", seed=seed))
+    return figures
+
+
+def blocks(seed: int) -> list[Figure]:
+    """Measures the table of client blocks at several sizes."""
+    figures = []
+    for count in (100_000, 400_000, 1_400_000):
+        rng = random.Random(seed)
+        chosen = rng.sample(range(1 << 24), count)
+        zone_by_block = {f"{n >> 16}.{n >> 8 & 255}.{n & 255}.0/24": f"z{n % 85}" for n in chosen}
+        began = time.process_time()
+        table = address_blocks.BlockTable(zone_by_block)
+        built = time.process_time() - began
+        began = time.process_time()
+        for number in range(100_000):
+            table.zone_of(f"{number % 223}.{number % 251}.{number % 241}.7")
+        took = (time.process_time() - began) / 100_000
+        name = f"blocks/{count}"
+        figures += [
+            figure(f"{name}/bytes per block", table.byte_count / count, "bytes", seed=seed),
+            figure(f"{name}/memory", table.byte_count / 2**20, "MB", seed=seed),
+            figure(f"{name}/build", built, "s of processor time", seed=seed),
+            figure(f"{name}/find", took * 1e6, "us of processor time", seed=seed),
+        ]
+    return figures
+
+
+def state(seed: int) -> list[Figure]:
+    """Measures building the view and a full delta against the number of organisations."""
+    figures = []
+    for count in (8, 100, 400, 1600):
+        held = configuration.Configuration()
+        for number in range(count):
+            name = f"o{number}"
+            value = {
+                "organisation": name, "rate": 10.0, "burst": 20.0,
+                "routes": [
+                    {"name": f"r{r}", "path": f"/p{r}", "service": f"s{r}"} for r in range(3)
+                ],
+            }  # fmt: skip
+            held.apply(_change(f"c{number}", f"contract/{name}", value))
+            for key in range(2):
+                made = dataclasses.asdict(configuration.new_key(name)[2])
+                held.apply(_change(f"k{number}.{key}", f"key/{name}/{key}", made))
+        began = time.process_time()
+        configuration.View(held)
+        took = time.process_time() - began
+        size = len(json.dumps(held.delta(0)))
+        figures += [
+            figure(f"state/{count} organisations/view", 1000 * took, "ms of processor time"),
+            figure(f"state/{count} organisations/full delta", size / 1024, "KB"),
+        ]
+    return figures
+
+
+def _change(change_id: str, subject: str, value: typing.Any) -> configuration.Change:
+    return configuration.Change(change_id, "measure", "now", subject, None, value)
+
+
+async def nodes() -> list[Figure]:
+    """Measures idle fleets of several sizes."""
+    figures = []
+    shapes = ((1, 5), (1, 15), (1, 30), (2, 10), (6, 4), (12, 4))
+    for zones, per_zone in shapes:
+        cost = await live.node_cost(zones, per_zone)
+        name = f"node/{zones} zones of {per_zone}"
+        figures += [
+            figure(f"{name}/entry cpu mean", 100 * cost.entry_cpu, "% of a core", ("<=", 3.2)),
+            figure(f"{name}/entry cpu max", 100 * cost.entry_cpu_max, "% of a core", ("<=", 3.2)),
+            figure(f"{name}/entry bytes mean", cost.entry_bytes / 1024, "KB/s", ("<=", 5.0)),
+            figure(f"{name}/entry bytes max", cost.entry_bytes_max / 1024, "KB/s", ("<=", 5.0)),
+            figure(f"{name}/entry memory", cost.entry_rss_mb, "MB", ("<=", 256.0)),
+            figure(f"{name}/control cpu max", 100 * cost.control_cpu_max, "% of a core"),
+            figure(f"{name}/control bytes max", cost.control_bytes_max / 1024, "KB/s"),
+            figure(f"{name}/control memory", cost.control_rss_mb, "MB"),
+        ]
+    return figures
+
+
+async def spread() -> list[Figure]:
+    """Measures how long a change takes until every process has it in force."""
+    figures = []
+    for zones, per_zone in ((2, 4), (6, 4), (12, 4)):
+        times = await live.spread_times(zones, per_zone)
+        name = f"spread/{zones} zones of {per_zone}"
+        figures.append(figure(f"{name}/median", times[len(times) // 2], "s"))
+        figures.append(figure(f"{name}/largest of {len(times)}", times[-1], "s", ("<=", 2.0)))
+    return figures
+
+
+async def path() -> list[Figure]:
+    """Measures the request path, look-ups, the log and idle callers."""
+    cost = await live.path_cost()
+    per_second, leader_ms = await live.log_cost()
+    idle_mb = await live.idle_callers()
+    return [
+        figure("path/look-ups per second of a core", cost.lookups_per_cpu_s, "1/s", (">=", 4000.0)),
+        figure(
+            "path/entry's processor time per request", cost.hop_cpu_ms / cost.bare_cpu_ms, "x",
+            ("<=", 2.0), compared_with="bare h11 exchange, both sides",
+        ),
+        figure("path/entry's processor time per request, ms", cost.hop_cpu_ms, "ms"),
+        figure("path/bare h11 exchange, ms", cost.bare_cpu_ms, "ms"),
+        figure("path/latency through the entry p50", cost.path_p50_ms, "ms"),
+        figure("path/latency through the entry p99", cost.path_p99_ms, "ms"),
+        figure("path/latency of the endpoint asked directly p50", cost.direct_p50_ms, "ms"),
+        figure("log/changes per second, one at a time", per_second, "1/s"),
+        figure("log/leader's processor time per change", leader_ms, "ms"),
+        figure("path/memory with 10,000 idle callers", idle_mb, "MB", ("<=", 256.0)),
+    ]  # fmt: skip
+
+
+OFFLINE = {
+    "selection": selection,
+    "fairness": fairness,
+    "rates": rates,
+    "blocks": blocks,
+    "state": state,
+}
+LIVE = {"nodes": nodes, "spread": spread, "path": path}
+
+
+def table(figures: typing.Sequence[Figure]) -> str:
+    """Returns a Markdown table."""
+    rows = ["| figure | value | unit | target | holds | seed |", "|--|--:|--|--|--|--|"]
+    for item in figures:
+        holds = {None: "", True: "yes", False: "**no**"}[item.holds]
+        seed = "" if item.seed is None else str(item.seed)
+        rows.append(
+            f"| {item.name} | {item.value:g} | {item.unit} | {item.target} | {holds} | {seed} |"
+        )
+    return "\n".join(rows)
+
+
+def plot(figures: typing.Sequence[Figure], folder: pathlib.Path) -> None:
+    """Draws latency against load, the rate limits and the spread."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    value_by_name = {item.name: item.value for item in figures}
+    if "selection/random/60%/p99" in value_by_name:
+        for policy in POLICIES:
+            values = [value_by_name[f"selection/{policy}/{load:.0%}/p99"] for load in LOADS]
+            pyplot.plot([100 * load for load in LOADS], values, marker="o", label=policy)
+        pyplot.xlabel("load, % of slots")
+        pyplot.ylabel("p99 / p99 of a central queue")
+        pyplot.yscale("log")
+        pyplot.legend()
+        pyplot.savefig(folder / "latency.png")
+        pyplot.close()
+    _bars(pyplot, figures, "wrongful", "part of entitled requests refused", folder / "refusals.png")
+    _bars(pyplot, figures, "largest", "s until in force everywhere", folder / "spread.png")
+
+
+def _bars(pyplot, figures, word: str, label: str, path: pathlib.Path) -> None:
+    chosen = [item for item in figures if word in item.name]
+    if not chosen:
+        return
+    pyplot.figure(figsize=(9, 1 + 0.3 * len(chosen)))
+    pyplot.barh([item.name for item in chosen], [item.value for item in chosen])
+    pyplot.xlabel(label)
+    pyplot.tight_layout()
+    pyplot.savefig(path)
+    pyplot.close()
+
+
+def main() -> None:
+    """Runs the experiments named, all of them by default."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("only", nargs="*", choices=[*OFFLINE, *LIVE, []], default=[])
+    parser.add_argument("--seed", type=int, default=1)
+    chosen = parser.parse_args()
+    names = chosen.only or [*OFFLINE, *LIVE]
+    figures: list[Figure] = []
+    for name in names:
+        found = OFFLINE[name](chosen.seed) if name in OFFLINE else asyncio.run(LIVE[name]())
+        figures += found
+        print(table(found), flush=True)
+    BUILD.mkdir(exist_ok=True)
+    rows = [dataclasses.asdict(item) for item in figures]
+    (BUILD / "measurements.json").write_text(json.dumps(rows, indent=1) + "\n")
+    (BUILD / "measurements.md").write_text(table(figures) + "\n")
+    plot(figures, BUILD)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/processes.py
+++ b/tools/processes.py
@@ -1,4 +1,5 @@
-"""Separate processes for tests: started on loopback, ended by pid, their logs kept in a folder."""
+"""Separate processes on loopback for tests and measurements: started with their logs in a folder,
+ended by pid."""
 
 import contextlib
 import json
@@ -16,7 +17,8 @@
 SERVICE_TOKEN = "service-token-of-the-tests"
 
 
-def free_ports(count):
+def free_ports(count: int) -> list[int]:
+    """Returns ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for item in sockets:
@@ -28,9 +30,16 @@
 
 
 class Processes:
-    """A fleet of separate processes."""
+    """A fleet of separate processes.
 
-    def __init__(self, folder, program=None):
+    Args:
+        folder: Folder for data, logs and tokens.
+        program: Command that starts the program.
+        production_timing: Whether intervals are the settings' defaults rather than short ones.
+    """
+
+    def __init__(self, folder, program=None, *, production_timing=False):
+        self.production_timing = production_timing
         self.folder = pathlib.Path(folder)
         self.program = program or [sys.executable, "-m", "flamingotiller"]
         self.process_by_name = {}
@@ -43,6 +52,7 @@
         )
 
     def environment(self):
+        """Returns the environment of the processes."""
         env = {k: v for k, v in os.environ.items() if not k.startswith("FLAMINGOTILLER_")}
         env["PYTHONPATH"] = "" if self.program[0] != sys.executable else str(ROOT)
         env["FLAMINGOTILLER_TOKEN"] = OPERATOR_TOKEN
@@ -67,9 +77,11 @@
         return done
 
     def json(self, *arguments):
+        """Returns the JSON that an operator's command prints."""
         return json.loads(self.run(*arguments, "--json").stdout)
 
     def found(self, names):
+        """Makes the data folders of control instances."""
         for name, port in zip(names, free_ports(len(names)), strict=True):
             self.address_by_name[name] = f"127.0.0.1:{port}"
         members = ",".join(f"{n}={self.address_by_name[n]}" for n in names)
@@ -77,21 +89,25 @@
             self.run("found", name, members, str(self.folder / name))
 
     def start_control(self, name):
+        """Starts a control instance."""
+        quick = ["--election_timeout=500ms", "--heartbeat=100ms"]
         self.start(
             name,
             "control",
             f"--instance={name}",
             f"--listen={self.address_by_name[name]}",
             f"--data={self.folder / name}",
-            "--election_timeout=500ms",
-            "--heartbeat=100ms",
+            *([] if self.production_timing else quick),
         )
 
     def start_entry(self, name, zone, *more):
+        """Starts an entry instance."""
+        quick = ["--gossip_interval=200ms", "--lease=1s", "--member_timeout=2s"]
+        quick.append("--lookup_lifetime=1s")
         if name not in self.address_by_name:
             self.address_by_name[name] = f"127.0.0.1:{free_ports(1)[0]}"
         controls = [a for n, a in self.address_by_name.items() if n.startswith("control")]
-        seeds = [
+        every = [
             a for n, a in self.address_by_name.items() if n != name and not n.startswith("control")
         ]
         self.start(
@@ -101,15 +117,13 @@
             f"--zone={zone}",
             f"--listen={self.address_by_name[name]}",
             f"--control={','.join(controls)}",
-            f"--seeds={','.join(seeds)}",
-            "--gossip_interval=200ms",
-            "--lease=1s",
-            "--member_timeout=2s",
-            "--lookup_lifetime=1s",
+            f"--seeds={','.join([*every[:3], *every[-2:]])}",
+            *([] if self.production_timing else quick),
             *more,
         )
 
     def start(self, name, *arguments):
+        """Starts a process and keeps its log."""
         self.arguments_by_name[name] = arguments
         with open(self.folder / f"{name}.log", "ab") as log:
             self.process_by_name[name] = subprocess.Popen(
@@ -121,19 +135,24 @@
             )
 
     def restart(self, name):
+        """Starts a process as it was started before."""
         self.start(name, *self.arguments_by_name[name])
 
     def signal(self, name, number):
+        """Sends a signal to a process."""
         self.process_by_name[name].send_signal(number)
 
     def kill(self, name):
+        """Kills a process and waits for its end."""
         self.signal(name, signal.SIGKILL)
         self.process_by_name[name].wait(10)
 
     def log(self, name):
+        """Returns what a process has logged."""
         return (self.folder / f"{name}.log").read_text(errors="replace")
 
     def close(self):
+        """Ends every process that is left."""
         for process in self.process_by_name.values():
             if process.poll() is None:
                 process.kill()
@@ -141,8 +160,9 @@
 
 
 @contextlib.contextmanager
-def running(folder, program=None):
-    fleet = Processes(folder, program)
+def running(folder, program=None, *, production_timing=False):
+    """Gives a fleet whose processes are ended at the end."""
+    fleet = Processes(folder, program, production_timing=production_timing)
     try:
         yield fleet
     finally:
