--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -21,6 +21,8 @@
 AHEAD_PAUSE = clock.seconds(0.1)
 AHEAD_BURST_FRACTION = 0.25
 ROUND_PAUSE = clock.seconds(0.05)
+# A zone that did not answer is not asked again for this long.
+UNREACHABLE_PAUSE = clock.seconds(2)
 SETTLE_INTERVAL = clock.seconds(0.25)
 
 
@@ -61,6 +63,7 @@
     def __init__(self, process: entry.EntryInstance, kind: str) -> None:
         self._process = process
         self._purses = limiter.PurseSet(kernel.limiters.get(kind))
+        self._paused_until_by_zone: dict[str, datetime.timedelta] = {}
         self._demand_by_organisation: dict[str, _Demand] = {}
 
     def on_shard_lost(self, shard: int) -> None:
@@ -197,7 +200,14 @@
         terms, deployment = self._terms(organisation)
         sharing = limiter.share_zones(organisation, terms.burst, deployment.zones_by_name)
         own = self._process.config.zone
-        return [z for z in sharing if z != own and self._process.table.addresses_in(z)]
+        now = self._process.clock.monotonic()
+        return [
+            zone
+            for zone in sharing
+            if zone != own
+            and self._process.table.addresses_in(zone)
+            and now >= self._paused_until_by_zone.get(zone, clock.ZERO)
+        ]
 
     def _start(self, organisation: str, demand: _Demand) -> None:
         if not demand.borrowing:
@@ -244,16 +254,19 @@
         terms, _ = self._terms(organisation)
         ahead = min(len(demand.recent), AHEAD_BURST_FRACTION * terms.burst)
         wanted = (len(demand.waiting) + ahead) / len(lenders)
-        asked = self._process.clock.monotonic()
-        loans = await asyncio.gather(
-            *(self._borrow_from(zone, organisation, max(1.0, wanted)) for zone in lenders)
-        )
-        purse = self.purse(organisation)
-        for address, loan in loans:
+
+        async def borrow_from(zone: str) -> float:
+            asked = self._process.clock.monotonic()
+            address, loan = await self._ask_loan(zone, organisation, max(1.0, wanted))
+            purse = self.purse(organisation)
             purse.borrow(address, loan, asked, self._process.clock.monotonic())
-        return sum(loan.tokens for _, loan in loans)
+            # Those that wait do not wait for the slowest zone.
+            self._serve(organisation, demand)
+            return loan.tokens
+
+        return sum(await asyncio.gather(*(borrow_from(zone) for zone in lenders)))
 
-    async def _borrow_from(
+    async def _ask_loan(
         self, zone: str, organisation: str, wanted: float
     ) -> tuple[str, limiter.Loan]:
         body = {"organisation": organisation, "wanted": wanted}
@@ -266,6 +279,7 @@
                 return address, limiter.Loan(int(document["number"]), float(document["tokens"]))
             except (errors.FlamingotillerError, KeyError, TypeError, ValueError):
                 continue
+        self._paused_until_by_zone[zone] = self._process.clock.monotonic() + UNREACHABLE_PAUSE
         return "", limiter.Loan(0, 0.0)
 
     async def run(self) -> None:
--- a/flamingotiller/control.py
+++ b/flamingotiller/control.py
@@ -333,7 +333,7 @@
         if self._applied - snapshot.index < self.config.snapshot_every:
             return
         self.replica.compact(self._applied, self.state.to_wire())
-        events.emit(events.SNAPSHOT_SAVED, index=self._applied, bytes=0)
+        events.emit(events.SNAPSHOT_SAVED, index=self._applied)
 
     # Other tasks
 
--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -80,7 +80,7 @@
     "free space or replace the disk, then restart (docs/OPERATIONS.md)",
 )
 TAIL_DROPPED = _define(2005, _WARN, "a torn record at the end of the log was dropped", "bytes")
-SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index bytes")
+SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index")
 SNAPSHOT_INSTALLED = _define(2007, _INFO, "snapshot of the leader installed", "index")
 MEMBERS_CHANGED = _define(2008, _INFO, "control membership changed", "voters learners")
 CHANGE_ACCEPTED = _define(2010, _INFO, "change accepted", "who change_id subject version")
--- a/flamingotiller/feed.py
+++ b/flamingotiller/feed.py
@@ -123,7 +123,7 @@
         """Answers a subscriber once there is news, or after a while without.
 
         Args:
-            request: ``{"after", "reports"}`` as ``Subscriber`` sends it.
+            request: ``{"after", "reports"}`` as ``subscription`` makes it.
 
         Raises:
             errors.InvalidInputError: The request is malformed.
@@ -245,7 +245,8 @@
         live: Names and addresses of the live members of its zone, itself included.
         control: Addresses of the control instances.
     """
-    ordered = sorted(live)
+    # The first seats of a zone vote on leases; the other end of the order relays to many.
+    ordered = sorted(live, reverse=True)
     position = next((i for i, (name, _) in enumerate(ordered) if name == instance), 0)
     parent = parent_position(position)
     others = [address for name, address in ordered if name != instance]
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -475,6 +475,7 @@
             return
         if self.role != "leader" or reply.term < self.store.term:
             return
+        committed = self.commit
         progress = self._progress(reply.follower)
         progress.acked_at = now
         progress.acked_round = max(progress.acked_round, reply.round)
@@ -487,6 +488,9 @@
                 progress.match + 1, min(reply.match + 1, self.store.last_index + 1)
             )
             progress.sent_through = 0
+        if self.commit > committed:
+            # Followers serve feeds too, so they hear of it now rather than with a heartbeat.
+            self._heartbeat_due = now
         self._confirm()
         behind = progress.next_index <= self.store.last_index
         if behind and progress.sent_through < progress.next_index:
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import secrets
 import typing
@@ -205,6 +206,12 @@
         key = (work.organisation, work.request_id)
         try:
             outcome = await self._admit_and_run(work, arrival, reply)
+        except errors.RefusedError:
+            if arrival.outcome is dispatch.Outcome.NOT_RUN:
+                # A caller that is told "not run" may send again at once and must find it free.
+                with contextlib.suppress(errors.FlamingotillerError):
+                    await claiming.release(*key, token)
+            raise
         except BaseException:
             if arrival.outcome is dispatch.Outcome.NOT_RUN:
                 self._process.background(claiming.release(*key, token))
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -31,7 +31,9 @@
 SPILL_TIMEOUT = clock.seconds(0.5)
 RELEASE_TIMEOUT = clock.seconds(1)
 SPILL_PAUSE = clock.seconds(0.05)
-SPILL_WHEN_WAITING_PER_SLOT = 1.0
+# A zone that did not answer is not asked again for this long.
+UNREACHABLE_PAUSE = clock.seconds(2)
+SPILL_WHEN_WAITING_PER_SLOT = 1 / 3
 
 
 class Slots:
@@ -48,6 +50,7 @@
         self._future_by_waiter: dict[selection.Waiter, asyncio.Future[None]] = {}
         self._links = region_links.RegionLinks(process)
         self._spilled_from: dict[int, str] = {}
+        self._unreachable_until_by_zone: dict[str, datetime.timedelta] = {}
         self._spill_closed_until: dict[str, datetime.timedelta] = {}
 
     # The instance that runs a request
@@ -191,13 +194,33 @@
         """Waits for a slot here; while the queue is long, looks for one in other zones too."""
         while not future.done():
             if self._is_crowded(queue):
-                granted = await self._ask_other_zones(ask)
+                granted = await self._spill_unless(future, ask)
                 if granted:
                     return granted
             await asyncio.wait({future}, timeout=SPILL_PAUSE.total_seconds())
         future.result()
         return None
 
+    async def _spill_unless(
+        self, future: asyncio.Future[None], ask: slot_messages.Ask
+    ) -> slot_messages.Granted | None:
+        """Looks for a slot in other zones until one here is granted first."""
+        spill = asyncio.ensure_future(self._ask_other_zones(ask))
+        either: set[asyncio.Future[typing.Any]] = {future, spill}
+        try:
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            # A slot that comes too late is given back; the question itself cannot be undone.
+            if not spill.done():
+                spill.add_done_callback(self._give_back)
+        return spill.result() if spill.done() else None
+
+    def _give_back(self, spill: asyncio.Future[slot_messages.Granted | None]) -> None:
+        if spill.cancelled() or spill.exception() or not (granted := spill.result()):
+            return
+        unused = slot_messages.Release(granted.number, granted.service, "unused")
+        self._process.background(self.release(granted, unused))
+
     def _is_crowded(self, queue: selection.SlotQueue) -> bool:
         slots = queue.slots(self._process.clock.monotonic())
         return queue.waiting > SPILL_WHEN_WAITING_PER_SLOT * slots
@@ -308,6 +331,8 @@
         body = dataclasses.replace(ask, spill=True, zone=self._process.config.zone).to_wire()
         view = self._process.feed.view
         for zone in lookup.neighbours(view, self._process.config.zone):
+            if now < self._unreachable_until_by_zone.get(zone, clock.ZERO):
+                continue
             for address in self._process.table.addresses_in(zone)[:1]:
                 try:
                     answer = await self._process.client.call(
@@ -316,6 +341,9 @@
                     document = client.raise_for_status(answer, step="spill", peer=address)
                     if "granted" in document:
                         return slot_messages.Granted(**document["granted"])
+                except errors.TransportError:
+                    until = self._process.clock.monotonic() + UNREACHABLE_PAUSE
+                    self._unreachable_until_by_zone[zone] = until
                 except (errors.FlamingotillerError, KeyError, TypeError):
                     continue
         # Those that wait do not all ask again at once.
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,153 @@
+"""The pages agree with the code: events, settings, metrics, routes, proofs, imports."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+from flamingotiller import errors, events, kernel, metrics, settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+DOCS = ROOT / "docs"
+PACKAGE = ROOT / "flamingotiller"
+
+
+def page(name):
+    return (DOCS / name).read_text(encoding="utf-8")
+
+
+def test_catalogue_of_events_is_the_code():
+    assert events.catalogue() in page("EVENTS.md")
+
+
+def test_every_event_is_emitted_with_its_fields():
+    sources = "\n".join(path.read_text() for path in PACKAGE.glob("*.py"))
+    names = re.findall(r"^([A-Z_]+) = _define\(", (PACKAGE / "events.py").read_text(), re.M)
+    unused = [name for name in names if f"events.{name}" not in sources]
+    assert not unused
+
+
+def test_event_with_other_fields_is_refused():
+    with pytest.raises(ValueError, match="takes"):
+        events.emit(events.STOP_ENDED, other=1)
+
+
+def test_json_log_lines_carry_number_and_fields(capsys):
+    formatter = events.JsonFormatter()
+    record = events.std_logging.LogRecord("x", 20, "f", 1, "text", (), None)
+    assert '"text":"text"' in formatter.format(record)
+    record.event_fields = {"event": 1001, "role": "entry"}
+    assert '"event":1001' in formatter.format(record)
+
+
+@pytest.mark.parametrize("model", [settings.EntrySettings, settings.ControlSettings])
+def test_settings_page_has_every_setting(model):
+    text = page("SETTINGS.md")
+    for line in settings.describe(model).splitlines():
+        assert line in text
+
+
+def test_metrics_page_has_every_metric():
+    text = page("INTERFACES.md")
+    for name in metrics.DESCRIPTION_BY_NAME:
+        assert f"`{name}`" in text
+
+
+def test_interfaces_page_has_every_route():
+    kernel.load_plugins()
+    text = page("INTERFACES.md")
+    for route in {**kernel.entry_routes.by_name, **kernel.control_routes.by_name}:
+        assert f"`{route}`" in text
+
+
+def test_interfaces_page_has_every_refusal():
+    text = page("INTERFACES.md")
+    sources = "".join((PACKAGE / n).read_text() for n in ("request_path.py", "slot_messages.py"))
+    codes = set(re.findall(r'code="([a-z-]+)"', sources)) | set(
+        re.findall(r'^    "([a-z-]+)": \(\d', sources, re.M)
+    )
+    assert len(codes) > 10
+    for code in codes:
+        assert f"`{code}`" in text, code
+
+
+def test_proofs_name_tests_that_exist_and_every_row_has_one():
+    lines = page("PROOFS.md").splitlines()
+    rows = [
+        line
+        for line, following in zip(lines, [*lines[1:], ""], strict=True)
+        if line.startswith("| ") and not following.startswith("|--")
+    ]
+    assert len(rows) >= 18
+    for row in rows:
+        named = re.findall(r"`(tests/test_\w+\.py)::(\w+)`", row)
+        assert named or "not proved" in row, row
+        for path, name in named:
+            assert re.search(
+                rf"(def|class) {name}\b|^{name} = ", (ROOT / path).read_text(), re.M
+            ), (
+                path,
+                name,
+            )
+
+
+def test_links_between_pages_lead_somewhere():
+    for path in [*DOCS.rglob("*.md"), ROOT / "README.md", ROOT / "CONTRIBUTING.md"]:
+        for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", path.read_text()):
+            assert (path.parent / target).exists(), (path, target)
+
+
+# Logic that holds no socket, reads no clock and draws no global random number.
+PURE = {
+    "address_blocks", "claims", "configuration", "contract", "lease", "limiter", "lookup",
+    "membership", "quarantine", "replica", "selection", "shift",
+}  # fmt: skip
+IMPURE_IMPORTS = {"asyncio", "socket", "time", "os", "h11", "threading", "subprocess"}
+SHELL = {"wire", "server", "client", "daemon", "entry", "control", "porcelain", "cli", "journal"}
+
+
+def imports_of(path):
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name.split(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module == "flamingotiller":
+            found |= {f"flamingotiller.{alias.name}" for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            found.add((node.module or "").split(".")[0])
+    return found
+
+
+@pytest.mark.parametrize("name", sorted(PURE))
+def test_decision_logic_is_free_of_sockets_clock_and_shell(name):
+    found = imports_of(PACKAGE / f"{name}.py")
+    assert not found & IMPURE_IMPORTS
+    allowed = {"flamingotiller.journal"} if name == "replica" else set()
+    assert not {f for f in found if f.removeprefix("flamingotiller.") in SHELL} - allowed
+    source = (PACKAGE / f"{name}.py").read_text()
+    assert not re.search(r"\brandom\.(random|choice|choices|sample|shuffle|randint)\(", source)
+
+
+def test_architecture_page_has_every_module():
+    text = page("ARCHITECTURE.md")
+    for path in PACKAGE.glob("*.py"):
+        if not path.name.startswith("__"):
+            assert f"`{path.stem}`" in text, path.name
+
+
+def test_no_process_is_started_and_modules_are_imported():
+    for path in PACKAGE.glob("*.py"):
+        tree = ast.parse(path.read_text())
+        for node in ast.walk(tree):
+            if isinstance(node, ast.ImportFrom) and node.module not in (None, "__future__"):
+                for alias in node.names:
+                    assert not alias.name[0].isupper(), (path.name, alias.name)
+        assert not imports_of(path) & {"subprocess", "multiprocessing"}, path.name
+
+
+def test_errors_form_one_tree_and_carry_step_and_peer():
+    kinds = [k for k in vars(errors).values() if isinstance(k, type) and issubclass(k, Exception)]
+    assert all(issubclass(kind, errors.FlamingotillerError) for kind in kinds)
+    error = errors.ConnectionLostError("gone", step="read", peer="10.0.0.1:1")
+    assert str(error) == "gone (read with 10.0.0.1:1)"
--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -111,3 +111,23 @@
                 await sender.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_zones_that_do_not_answer_hold_up_no_request_that_has_a_slot_here(monkeypatch):
+    async def scenario():
+        plan = embedded.Plan({"z1": "r1"}, services=("search",), slots=1, service_time_s=0.05)
+        async with embedded.running(plan) as fleet:
+            key = await configure(fleet)
+            (entry,) = fleet.entries
+            sender = caller.Caller([entry.address], "growers", key, clock.SystemClock())
+            await until_served(sender)
+
+            async def never(ask):
+                await asyncio.sleep(60)
+
+            monkeypatch.setattr(entry.slots, "_ask_other_zones", never)
+            answers = await asyncio.gather(*(sender.send("GET", "/names") for _ in range(12)))
+            assert [answer.status for answer in answers] == [200] * 12
+            await sender.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -200,6 +200,17 @@
     assert cluster.leader()
 
 
+def test_followers_learn_of_a_commit_before_the_next_heartbeat():
+    cluster, leader = elected()
+    cluster.propose(leader)
+    for _ in range(3):
+        cluster.tick(leader)
+        while cluster.messages:
+            cluster.deliver(0)
+    commits = {cluster.nodes[name].commit for name in cluster.nodes}
+    assert commits == {cluster.nodes[leader].store.last_index}
+
+
 def test_newcomer_does_not_count_before_it_has_caught_up():
     cluster, leader = elected()
     newcomer = cluster.lose_disk(next(n for n in cluster.nodes if n != leader))
--- a/tools/live.py
+++ b/tools/live.py
@@ -185,7 +185,7 @@
     while True:
         answer = await sender.call(address, "GET", "/metrics", timeout=clock.seconds(5))
         found = re.search(
-            rb"^flamingotiller_config_version\{[^}]*\} ([0-9.e+]+)", answer.body, re.M
+            rb"^flamingotiller_config_version(?:\{[^}]*\})? ([0-9.e+]+)", answer.body, re.M
         )
         if found and float(found[1]) >= version:
             return
--- a/tools/metering.py
+++ b/tools/metering.py
@@ -22,7 +22,8 @@
 
     Attributes:
         kind: Limiter.
-        pattern: ``uniform``, ``one-zone``, ``skewed`` (half at one zone) or ``burst``.
+        pattern: ``uniform``, ``one-zone``, ``skewed`` (half at one zone), ``burst``, or ``cut``
+            (uniform, with the links of the first zone cut in the middle third).
         zones: Zones.
         rate: The contract's rate.
         burst: The contract's burst.
@@ -105,6 +106,9 @@
         self.recent: list[collections.deque[float]] = [collections.deque() for _ in self.zones]
         self.borrowing = [False] * setup.zones
         self.borrowed_at = [-1.0] * setup.zones
+        self.open_asks = [0] * setup.zones
+        self.gained = [0.0] * setup.zones
+        self.paused_until = [[-1.0] * setup.zones for _ in self.zones]
         self.events: list[tuple[float, int, typing.Callable[[float], None]]] = []
         self.order = itertools.count()
         self.admitted: list[float] = []
@@ -144,34 +148,51 @@
             self.ask(zone, now)
 
     def ask(self, zone: int, now: float) -> None:
-        lenders = [lender for lender in self.lenders if lender != zone]
+        lenders = [i for i in self.lenders if i != zone and now >= self.paused_until[zone][i]]
+        self.open_asks[zone] = max(1, len(lenders))
+        self.gained[zone] = 0.0
         if not lenders:
-            self.answer(zone, now, [], now)
+            self.answer(zone, now)
             return
         ahead = min(len(self.recent[zone]), admission.AHEAD_BURST_FRACTION * self.setup.burst)
         wanted = max(1.0, (len(self.waiting[zone]) + ahead) / len(lenders))
         self.messages += len(lenders)
-        self.at(now + ONE_WAY_S, lambda when: self.lend(zone, now, lenders, wanted, when))
-
-    def lend(self, zone: int, asked: float, lenders: list[int], wanted: float, now: float) -> None:
-        loans = [(i, self.purses[i].bucket.lend(wanted, clock.seconds(now))) for i in lenders]
-        self.at(now + ONE_WAY_S, lambda when: self.answer(zone, asked, loans, when))
-
-    def answer(
-        self, zone: int, asked: float, loans: list[tuple[int, limiter.Loan]], now: float
-    ) -> None:
+        for lender in lenders:
+            if self.is_cut(zone, now) or self.is_cut(lender, now):
+                timeout = 2 * admission.LOAN_TIMEOUT.total_seconds()
+                pause = admission.UNREACHABLE_PAUSE.total_seconds()
+                self.paused_until[zone][lender] = now + timeout + pause
+                self.at(now + timeout, functools.partial(self.answer, zone))
+            else:
+                self.at(now + ONE_WAY_S, functools.partial(self.lend, zone, lender, now, wanted))
+
+    def is_cut(self, zone: int, now: float) -> bool:
+        """Returns whether the zone's links are cut: the first one's in the middle third."""
+        third = self.setup.seconds / 3
+        return self.setup.pattern == "cut" and zone == 0 and third <= now < 2 * third
+
+    def lend(self, zone: int, lender: int, asked: float, wanted: float, now: float) -> None:
+        loan = self.purses[lender].bucket.lend(wanted, clock.seconds(now))
+        self.at(now + ONE_WAY_S, functools.partial(self.receive, zone, lender, asked, loan))
+
+    def receive(self, zone: int, lender: int, asked: float, loan: limiter.Loan, now: float) -> None:
         purse = self.purses[zone]
-        for lender, loan in loans:
-            purse.borrow(str(lender), loan, clock.seconds(asked), clock.seconds(now))
+        purse.borrow(str(lender), loan, clock.seconds(asked), clock.seconds(now))
         for part in range(1, 6):
             pause = part * admission.SETTLE_INTERVAL.total_seconds()
             self.at(now + pause, lambda when: self.settle(purse, when))
+        self.gained[zone] += loan.tokens
+        self.answer(zone, now)
+
+    def answer(self, zone: int, now: float) -> None:
         self.serve(zone, now)
+        self.open_asks[zone] -= 1
+        if self.open_asks[zone]:
+            return
         if not self.waiting[zone]:
             self.end(zone, now)
             return
-        gained = sum(loan.tokens for _, loan in loans)
-        pause = 0.0 if gained >= 1.0 else admission.ROUND_PAUSE.total_seconds()
+        pause = 0.0 if self.gained[zone] >= 1.0 else admission.ROUND_PAUSE.total_seconds()
         self.at(now + pause, functools.partial(self.again, zone))
 
     def again(self, zone: int, now: float) -> None:
--- /dev/null
+++ b/tools/spilling.py
@@ -0,0 +1,143 @@
+"""Offline comparison of rules for moving requests between two zones, among them the difference
+threshold of Antonis, Garofalakis and Spirakis (docs/design/shifts.md)."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+import typing
+
+SLOTS = 6
+SERVICE_S = 0.02
+# From the decision to move a request to its arrival: one message each way.
+MOVE_S = 0.0028
+
+
+@dataclasses.dataclass(frozen=True)
+class Setup:
+    """An experiment.
+
+    Attributes:
+        rule: ``none``, ``permit`` (a free slot of a zone where nobody waits, when more wait here
+            than ``threshold`` times the slots), ``sender`` (the same without asking what is free,
+            to a queue known exactly) or ``difference`` (populations differ by ``threshold``).
+        loads: Offered work of each zone as a part of its slots.
+        threshold: See the rules.
+        requests: Number of requests.
+        seed: Seed of arrivals and service times.
+    """
+
+    rule: str
+    loads: tuple[float, float]
+    threshold: float = 1.0
+    requests: int = 40_000
+    seed: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Result of an experiment.
+
+    Attributes:
+        mean_s: Mean latency.
+        p99_s: 99th percentile.
+        moved: Part of the requests that were moved.
+    """
+
+    mean_s: float
+    p99_s: float
+    moved: float
+
+
+class _Run:
+    def __init__(self, setup: Setup) -> None:
+        self.setup = setup
+        self.events: list[tuple[float, int, typing.Callable[[float], None]]] = []
+        self.order = itertools.count()
+        self.busy = [0, 0]
+        self.reserved = [0, 0]
+        self.waiting: list[collections.deque[tuple[float, float]]] = [
+            collections.deque(),
+            collections.deque(),
+        ]
+        self.latencies: list[float] = []
+        self.moved = 0
+
+    def at(self, when: float, what: typing.Callable[[float], None]) -> None:
+        heapq.heappush(self.events, (when, next(self.order), what))
+
+    def run(self) -> Outcome:
+        rng = random.Random(self.setup.seed)
+        rates = [load * SLOTS / SERVICE_S for load in self.setup.loads]
+        now = 0.0
+        for _ in range(self.setup.requests):
+            now += rng.expovariate(sum(rates))
+            zone = 0 if rng.random() < rates[0] / sum(rates) else 1
+            job = (now, rng.expovariate(1 / SERVICE_S))
+            self.at(now, functools.partial(self.arrive, zone, job))
+        while self.events:
+            when, _, what = heapq.heappop(self.events)
+            what(when)
+        values = sorted(self.latencies)
+        return Outcome(
+            sum(values) / len(values), values[int(0.99 * len(values))], self.moved / len(values)
+        )
+
+    def arrive(self, zone: int, job: tuple[float, float], now: float) -> None:
+        self.waiting[zone].append(job)
+        self.step(zone, now)
+
+    def step(self, zone: int, now: float) -> None:
+        while self.waiting[zone] and self.busy[zone] + self.reserved[zone] < SLOTS:
+            self.busy[zone] += 1
+            self.begin(zone, self.waiting[zone].popleft(), now)
+        for sender in (0, 1):
+            while self.wants_to_move(sender):
+                self.move(sender, now)
+
+    def begin(self, zone: int, job: tuple[float, float], now: float) -> None:
+        self.at(now + job[1], lambda when: self.end(zone, job, when))
+
+    def end(self, zone: int, job: tuple[float, float], now: float) -> None:
+        self.busy[zone] -= 1
+        self.latencies.append(now - job[0])
+        self.step(zone, now)
+
+    def population(self, zone: int) -> int:
+        return self.busy[zone] + self.reserved[zone] + len(self.waiting[zone])
+
+    def wants_to_move(self, sender: int) -> bool:
+        other, threshold = 1 - sender, self.setup.threshold
+        if not self.waiting[sender] or self.setup.rule == "none":
+            return False
+        if self.setup.rule == "difference":
+            return self.population(sender) - self.population(other) >= threshold
+        crowded = len(self.waiting[sender]) > threshold * SLOTS
+        if self.setup.rule == "sender":
+            return crowded and len(self.waiting[other]) <= threshold * SLOTS
+        return crowded and not self.waiting[other] and self.population(other) < SLOTS
+
+    def move(self, sender: int, now: float) -> None:
+        self.moved += 1
+        job = self.waiting[sender].popleft()
+        # What is under way counts at the other side, as a permit does.
+        self.reserved[1 - sender] += 1
+        self.at(now + MOVE_S, functools.partial(self.arrive_moved, 1 - sender, job))
+
+    def arrive_moved(self, zone: int, job: tuple[float, float], now: float) -> None:
+        self.reserved[zone] -= 1
+        if self.busy[zone] < SLOTS:
+            self.busy[zone] += 1
+            self.begin(zone, job, now)
+            return
+        self.waiting[zone].appendleft(job)
+        self.step(zone, now)
+
+
+def run(setup: Setup) -> Outcome:
+    """Runs an experiment."""
+    return _Run(setup).run()
