Tell all who may need it of a death, and name deaths, so that counts of zones add up

The news went to the holder of each other zone only, so it was lost where there was none at the moment; and zones merged their counts by the larger, so one death seen in each of two zones stayed one.

Change: the news goes to every member of the own zone and, by way of one instance, to every member of the others; a death has a name, and what zones know is joined. A fault's clean-up in the pairs runs also when a check fails, so that one failure does not spoil the pairs after it.

Ruled out: a longer wait before the retry (the news was lost, not late).

--- a/flamingotiller/quarantine.py
+++ b/flamingotiller/quarantine.py
@@ -35,11 +35,11 @@
     """A request that was in flight when an endpoint died.
 
     Attributes:
-        deaths: Endpoints that have died with it in flight.
-        at: When the last one did.
+        deaths: Names of the deaths of endpoints that had it in flight.
+        at: When the last one was noted.
     """
 
-    deaths: int
+    deaths: set[str]
     at: datetime.timedelta
 
 
@@ -68,11 +68,12 @@
         return until is not None
 
     def on_death(
-        self, in_flight: typing.Collection[str], now: datetime.timedelta
+        self, death: str, in_flight: typing.Collection[str], now: datetime.timedelta
     ) -> dict[str, int]:
         """Notes that an endpoint has died.
 
         Args:
+            death: Name of this death, unlike that of any other.
             in_flight: Fingerprints of the requests that it was running.
             now: Monotonic time.
 
@@ -84,12 +85,13 @@
         alone = len(known) == 1
         newly = {}
         for print_ in prints:
-            suspect = self.suspect_by_fingerprint.setdefault(print_, Suspect(0, now))
-            suspect.deaths += 1
+            suspect = self.suspect_by_fingerprint.setdefault(print_, Suspect(set(), now))
+            suspect.deaths.add(death)
             suspect.at = now
-            guilty = print_ in known and alone and suspect.deaths >= DEATHS_ALONE
-            if guilty or suspect.deaths >= DEATHS_AT_ALL:
-                newly[print_] = suspect.deaths
+            count = len(suspect.deaths)
+            guilty = print_ in known and alone and count >= DEATHS_ALONE
+            if guilty or count >= DEATHS_AT_ALL:
+                newly[print_] = count
                 self.quarantine(print_, now)
         self._bound()
         return newly
@@ -98,10 +100,10 @@
         """Clears a suspect whose run has ended well."""
         self.suspect_by_fingerprint.pop(print_, None)
 
-    def learn(self, print_: str, deaths: int, now: datetime.timedelta) -> None:
-        """Takes over what another instance has seen."""
-        suspect = self.suspect_by_fingerprint.setdefault(print_, Suspect(0, now))
-        suspect.deaths = max(suspect.deaths, deaths)
+    def learn(self, print_: str, deaths: typing.Collection[str], now: datetime.timedelta) -> None:
+        """Takes over what another instance has seen; the same death counts once."""
+        suspect = self.suspect_by_fingerprint.setdefault(print_, Suspect(set(), now))
+        suspect.deaths.update(deaths)
         suspect.at = now
         self._bound()
 
--- a/flamingotiller/suspicion.py
+++ b/flamingotiller/suspicion.py
@@ -5,9 +5,10 @@
 
 import asyncio
 import collections.abc
+import secrets
 import typing
 
-from flamingotiller import clock, errors, events, lease, lookup, quarantine, selection
+from flamingotiller import clock, errors, events, lookup, quarantine, selection
 
 if typing.TYPE_CHECKING:
     from flamingotiller import entry
@@ -48,60 +49,75 @@
     def on_death(
         self, queue: selection.SlotQueue, number: int, endpoint: str
     ) -> collections.abc.Coroutine | None:
-        """Notes a death; returns the work of telling the other zones, if there is any."""
+        """Notes a death; returns the work of telling the others, if there is any."""
         now = self._process.clock.monotonic()
         prints = queue.on_death(number)
         if not prints:
             return None
         queue.pause(endpoint, now, selection.DEATH_PAUSE)
         events.emit(events.ENDPOINT_DIED, endpoint=endpoint, in_flight=len(prints))
-        newly = self.register.on_death(prints, now)
+        death = f"{self._process.config.instance}/{endpoint}/{secrets.token_hex(4)}"
+        newly = self.register.on_death(death, prints, now)
         queue.mark_suspects(lambda print_: self.register.is_suspect(print_, now))
         held = self.register.suspect_by_fingerprint
-        deaths = {p: held[p].deaths for p in prints if p in held}
+        deaths = {p: sorted(held[p].deaths) for p in prints if p in held}
         return self._spread(queue.service, deaths, newly)
 
-    async def _spread(self, service: str, deaths: dict[str, int], newly: dict[str, int]) -> None:
+    async def _spread(
+        self, service: str, deaths: dict[str, list[str]], newly: dict[str, int]
+    ) -> None:
         body = {"service": service, "deaths": deaths, "quarantined": sorted(newly)}
         for print_, count in newly.items():
             events.emit(events.QUARANTINE_ADDED, fingerprint=print_, deaths=count)
         zones = lookup.neighbours(self._process.feed.view, self._process.config.zone)
-        await asyncio.gather(*(self._tell_zone(zone, body) for zone in zones))
+        await asyncio.gather(
+            self._tell_members(body), *(self._tell_zone(zone, body) for zone in zones)
+        )
         for print_, count in newly.items():
             report = self._process.control.report_quarantine(print_, f"{count} endpoints died")
             self._process.background(report)
 
+    async def _tell_members(self, body: dict[str, typing.Any]) -> None:
+        """Tells every member of this zone: any of them may hold the shard next."""
+        table = self._process.table
+        members = [m for m in table.live(self._process.clock.monotonic()) if m is not table.own]
+        told = {**body, "hops": 1}
+        await asyncio.gather(*(self._tell(member.address, told) for member in members))
+
     async def _tell_zone(self, zone: str, body: dict[str, typing.Any]) -> None:
-        for address in self._process.table.addresses_in(zone)[:2]:
-            try:
-                await self._process.client.call(
-                    address, "POST", "/v1/suspects", body, timeout=TELL_TIMEOUT
-                )
+        """Tells another zone by way of the first of its instances that answers."""
+        for address in self._process.table.addresses_in(zone):
+            if await self._tell(address, body):
                 return
-            except errors.TransportError:
-                continue
+
+    async def _tell(self, address: str, body: dict[str, typing.Any]) -> bool:
+        try:
+            answer = await self._process.client.call(
+                address, "POST", "/v1/suspects", body, timeout=TELL_TIMEOUT
+            )
+            return answer.status == 200
+        except errors.TransportError:
+            return False
 
     async def on_suspects(self, body: typing.Any) -> None:
-        """Takes over what another zone has seen, at the holder of the service here.
+        """Takes over what another instance has seen, and tells this zone if it is of another.
 
         Raises:
             errors.InvalidInputError: The message is malformed.
         """
         try:
             service, hops = str(body["service"]), int(body.get("hops", 0))
-            deaths = {str(p): int(n) for p, n in body["deaths"].items()}
+            deaths = {str(p): [str(d) for d in names] for p, names in body["deaths"].items()}
             quarantined = [str(p) for p in body["quarantined"]]
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise errors.InvalidInputError(f"bad suspects: {error}", step="suspects") from error
-        shard = lease.shard_of("service", service)
-        if not self._process.shards.holds(shard) and not hops:
-            await self._process.shards.ask_holder(
-                shard, "/v1/suspects", {**body, "hops": 1}, TELL_TIMEOUT
-            )
-            return
         now = self._process.clock.monotonic()
-        for print_, count in deaths.items():
-            self.register.learn(print_, count, now)
+        for print_, names in deaths.items():
+            self.register.learn(print_, names, now)
         for print_ in quarantined:
             self.register.quarantine(print_, now)
-        self._process.slots.queue(service).mark_suspects(lambda p: self.register.is_suspect(p, now))
+        queue = self._process.slots.queue_by_service.get(service)
+        if queue:
+            queue.mark_suspects(lambda p: self.register.is_suspect(p, now))
+        if not hops:
+            await self._tell_members(body)
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -174,8 +174,13 @@
             address = self.fleet.address_by_name["a-2" if number % 2 else "b-1"]
             test_processes.send(address, "GET", target, self.key, timeout=4)
         crashed = [e for e in self.endpoints if any(r.target == target for r in e.runs)]
-        assert len(crashed) <= 3, target
-        return lambda: [self.revive(endpoint) for endpoint in crashed]
+
+        def heal():
+            for endpoint in crashed:
+                self.revive(endpoint)
+            assert len(crashed) <= 3, target
+
+        return heal
 
     def revive(self, endpoint):
         loop = endpoint._task.get_loop()
@@ -235,14 +240,10 @@
 @pytest.mark.parametrize(("first", "second"), PAIRS)
 def test_pair_of_failures_breaks_no_promise(bench, first, second):
     load = Load(bench.fleet, bench.endpoints, bench.key)
-    heal = []
-    try:
+    with contextlib.ExitStack() as stack:
+        stack.callback(bench.until_served)
+        stack.callback(load.end)
+        stack.callback(time.sleep, 1)
         for name in (first, second):
-            heal.append(getattr(bench, name)())
+            stack.callback(getattr(bench, name)())
         time.sleep(LOAD_S)
-    finally:
-        for undo in reversed(heal):
-            undo()
-        time.sleep(1)
-        load.end()
-    bench.until_served()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -15,7 +15,7 @@
         # A suspect runs apart from other suspects, beside requests nobody suspects.
         innocent = [f"i{rng.randrange(10_000)}" for _ in range(rng.randrange(6))]
         others = [p for p in innocent if not suspects.is_suspect(p, now)]
-        suspects.on_death([guilty, *others], now)
+        suspects.on_death(f"g{deaths}", [guilty, *others], now)
         deaths += 1
         now += clock.seconds(rng.random())
     return deaths
@@ -27,9 +27,9 @@
         suspects = quarantine.Register()
         now = clock.seconds(10)
         # Endpoints die for reasons of their own while requests come and mostly end well.
-        for _ in range(rng.randrange(6)):
+        for number in range(rng.randrange(6)):
             in_flight = [f"i{rng.randrange(10_000)}" for _ in range(rng.randrange(1, 7))]
-            suspects.on_death(in_flight, now)
+            suspects.on_death(f"d{number}", in_flight, now)
             for print_ in in_flight:
                 if rng.random() < 0.9:
                     suspects.on_finished(print_)
@@ -42,7 +42,7 @@
 def test_suspicion_and_quarantine_run_out_and_can_be_lifted():
     suspects = quarantine.Register()
     now = clock.seconds(1)
-    suspects.on_death(["a"], now)
+    suspects.on_death("d", ["a"], now)
     assert suspects.is_suspect("a", now)
     later = now + quarantine.SUSPICION_LIFETIME * 1.1
     assert not suspects.is_suspect("a", later)
@@ -56,8 +56,19 @@
 def test_what_another_zone_saw_counts():
     suspects = quarantine.Register()
     now = clock.seconds(1)
-    suspects.learn("a", 1, now)
-    assert suspects.on_death(["a", "b"], now) == {"a": 2}
+    suspects.learn("a", ["one"], now)
+    suspects.learn("a", ["one"], now)
+    assert suspects.on_death("two", ["a", "b"], now) == {"a": 2}
+
+
+def test_deaths_seen_in_different_zones_add_up():
+    suspects = quarantine.Register()
+    now = clock.seconds(1)
+    suspects.on_death("here", ["a", "b"], now)
+    suspects.learn("a", ["there"], now)
+    suspects.learn("b", ["there"], now)
+    # Neither was alone, but a third death with it in flight is one too many.
+    assert suspects.on_death("again", ["a", "b"], now) == {"a": 3, "b": 3}
 
 
 def test_fingerprint_tells_requests_apart():
