Test the operator's commands and the second signal; one status for an error by its kind

Cause: reading as a newcomer: several commands and the second TERM had no test over processes, the search for free ports stood twice, and the status of an error was found by a loop over a table where the house style asks for singledispatch.

Change: a test of show, diff, history, wait, instances, drain watch and cancel, remove, and exit codes 3, 4, 6; a test that a second TERM ends a graceful stop; `server.status_of` by singledispatch; one `free_ports`.

--- a/flamingotiller/embedded.py
+++ b/flamingotiller/embedded.py
@@ -126,7 +126,7 @@
         tokens = settings.load_tokens(self.tokens_file)
         # Members name each other's addresses in the data folder, so ports are taken first.
         names = [f"control-{number}" for number in range(self.plan.controls)]
-        ports = _free_ports(len(names))
+        ports = free_ports(len(names))
         address_by_name = {
             name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)
         }
@@ -188,7 +188,8 @@
                 self.endpoints.append(endpoint)
 
 
-def _free_ports(count: int) -> list[int]:
+def free_ports(count: int) -> list[int]:
+    """Returns ports of the loopback address that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for item in sockets:
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import datetime
+import functools
 import typing
 import urllib.parse
 
@@ -217,28 +218,54 @@
         body["winner"] = error.winner
     if isinstance(error, errors.NotLeaderError):
         body["leader"] = error.leader
-    await reply.json(_status_of(error), body)
+    await reply.json(status_of(error), body)
 
 
-def _status_of(error: errors.FlamingotillerError) -> int:
-    if isinstance(error, errors.LimitExceededError):
-        return error.status
-    for kind, status in _STATUS_BY_ERROR.items():
-        if isinstance(error, kind):
-            return status
+@functools.singledispatch
+def status_of(error: Exception) -> int:
+    """Returns the HTTP status that tells a peer of an error, by the kind of error."""
     return 500
 
 
-_STATUS_BY_ERROR: dict[type[Exception], int] = {
-    errors.InvalidInputError: 400,
-    errors.UnauthenticatedError: 401,
-    errors.NotFoundError: 404,
-    errors.ConflictError: 409,
-    errors.NotLeaderError: 421,
-    errors.UnavailableError: 503,
-    errors.StorageError: 503,
-    errors.TransportError: 502,
-}
+@status_of.register
+def _(error: errors.LimitExceededError) -> int:
+    return error.status
+
+
+@status_of.register
+def _(error: errors.InvalidInputError) -> int:
+    return 400
+
+
+@status_of.register
+def _(error: errors.UnauthenticatedError) -> int:
+    return 401
+
+
+@status_of.register
+def _(error: errors.NotFoundError) -> int:
+    return 404
+
+
+@status_of.register
+def _(error: errors.ConflictError) -> int:
+    return 409
+
+
+@status_of.register
+def _(error: errors.NotLeaderError) -> int:
+    return 421
+
+
+@status_of.register
+def _(error: errors.TransportError) -> int:
+    return 502
+
+
+@status_of.register(errors.UnavailableError)
+@status_of.register(errors.StorageError)
+def _(error: errors.FlamingotillerError) -> int:
+    return 503
 
 
 class Server:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -117,6 +117,53 @@
         runs = [run for endpoint in made for run in endpoint.runs]
         assert runs
         assert not any(key in str(run.headers) for run in runs)
+    # A second signal ends a graceful stop at once: that of b-1 would last for a look-up's life.
+    fleet.restart_with("b-1", "--lookup_lifetime=60s")
+    processes.eventually(lambda: "E1001" in fleet.log("b-1").split("E1003")[-1])
+    fleet.signal("b-1", signal.SIGTERM)
+    processes.eventually(lambda: "E1002" in fleet.log("b-1").split("E1003")[-1])
+    assert fleet.process_by_name["b-1"].poll() is None
+    fleet.signal("b-1", signal.SIGTERM)
+    assert fleet.process_by_name["b-1"].wait(20) == 0
+    assert "E1004" in fleet.log("b-1")
     for name in ("a-1", "control-1"):
         fleet.signal(name, signal.SIGTERM)
         assert fleet.process_by_name[name].wait(20) == 0
+
+
+def test_operators_commands(fleet):
+    fleet.found(["control-1"])
+    fleet.start_control("control-1")
+    fleet.start_entry("a-1", "a")
+    key = configure(fleet, {"a": ["a-1"]})
+    with endpoints(fleet, {"search-a": "a-1"}):
+        processes.eventually(lambda: served(fleet.address_by_name["a-1"], key))
+        assert set(fleet.json("show", "contract/")) == {"contract/growers"}
+        assert "no difference" in fleet.run("diff", "growers.toml").stdout
+        (fleet.folder / "changed.toml").write_text(CONTRACT.replace("rate = 300", "rate = 301"))
+        changed = fleet.run("diff", "changed.toml").stdout
+        assert '+  "rate": 301' in changed
+        assert "is at version 2" in changed
+        assert fleet.json("apply", "changed.toml", "--base=2")["to_version"] == 4
+        refused = fleet.run("apply", "growers.toml", "--base=2", check=False)
+        assert refused.returncode == 4
+        rows = fleet.json("history", "contract/growers")
+        assert [(r["accepted"], r["who"]) for r in rows] == [
+            (False, "alice"), (True, "alice"), (True, "alice"),
+        ]  # fmt: skip
+        assert list(fleet.json("key", "list", "growers")) == [key.split(".")[1]]
+        assert fleet.json("wait", "4")["done"]
+        late = fleet.run("wait", "99", "--timeout=300ms", check=False)
+        assert late.returncode == 6
+        assert "lags: a-1" in late.stdout
+        (row,) = fleet.json("instances")
+        assert row["services"]["search"]["endpoints"][0]["name"] == "search-a"
+        fleet.run("drain", "start", "endpoint", "search-a", "--reason=test")
+        assert "0 requests in flight" in fleet.run("drain", "watch", "endpoint", "search-a").stdout
+        assert list(fleet.json("drain", "list")) == ["endpoint/search-a"]
+        fleet.run("drain", "cancel", "endpoint", "search-a")
+        assert fleet.run("remove", "drain/zone/none", check=False).returncode == 4
+        assert fleet.run("remove", "contract/growers").returncode == 0
+        wrong = dict(fleet.environment(), FLAMINGOTILLER_TOKEN="wrong")
+        fleet.environment = lambda: wrong
+        assert fleet.run("status", check=False).returncode == 3
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -6,29 +6,18 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+from flamingotiller import embedded
+
 ROOT = pathlib.Path(__file__).parent.parent
 PEER_TOKEN = "peer-token-of-the-tests"
 OPERATOR_TOKEN = "operator-token-of-the-tests"
 SERVICE_TOKEN = "service-token-of-the-tests"
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 class Processes:
     """A fleet of separate processes.
 
@@ -82,7 +71,7 @@
 
     def found(self, names):
         """Makes the data folders of control instances."""
-        for name, port in zip(names, free_ports(len(names)), strict=True):
+        for name, port in zip(names, embedded.free_ports(len(names)), strict=True):
             self.address_by_name[name] = f"127.0.0.1:{port}"
         members = ",".join(f"{n}={self.address_by_name[n]}" for n in names)
         for name in names:
@@ -105,7 +94,7 @@
         quick = ["--gossip_interval=200ms", "--lease=1s", "--member_timeout=2s"]
         quick.append("--lookup_lifetime=1s")
         if name not in self.address_by_name:
-            self.address_by_name[name] = f"127.0.0.1:{free_ports(1)[0]}"
+            self.address_by_name[name] = f"127.0.0.1:{embedded.free_ports(1)[0]}"
         controls = [a for n, a in self.address_by_name.items() if n.startswith("control")]
         every = [
             a for n, a in self.address_by_name.items() if n != name and not n.startswith("control")
@@ -138,6 +127,12 @@
         """Starts a process as it was started before."""
         self.start(name, *self.arguments_by_name[name])
 
+    def restart_with(self, name, *more):
+        """Stops a process gracefully and starts it with further flags."""
+        self.signal(name, signal.SIGTERM)
+        self.process_by_name[name].wait(30)
+        self.start(name, *self.arguments_by_name[name], *more)
+
     def signal(self, name, number):
         """Sends a signal to a process."""
         self.process_by_name[name].send_signal(number)
