Make every request at a dead endpoint wait until the others have been told

Change: all requests that were at the endpoint wait for the same telling.

Measured: a test without sockets in which a second request's wait ends only with the telling; before the change it had nothing to wait for.

Ruled out by the log: lost leases, lost releases, suspicion that ran out.

--- a/flamingotiller/selection.py
+++ b/flamingotiller/selection.py
@@ -253,6 +253,11 @@
         station = self._station_by_permit.get(number)
         return station.endpoint.name if station else ""
 
+    def permits_beside(self, number: int) -> list[int]:
+        """Returns the permits at a permit's endpoint, itself included; none if it is not held."""
+        station = self._station_by_permit.get(number)
+        return list(station.waiter_by_permit) if station else []
+
     def on_death(self, number: int) -> list[str]:
         """Notes that the connection of a permit broke without an answer.
 
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -295,11 +295,13 @@
         else:
             self._process.background(self.release(granted, release))
 
-    def release_here(self, release: slot_messages.Release) -> collections.abc.Coroutine | None:
+    def release_here(
+        self, release: slot_messages.Release
+    ) -> collections.abc.Awaitable[None] | None:
         """Takes a permit back as the holder that granted it.
 
         Returns:
-            After a death, the work of telling the other zones; None when there is none.
+            After a death, what ends when the others have been told; None when nothing is to tell.
         """
         queue = self.queue_by_service.get(release.service)
         if queue is None:
@@ -318,6 +320,7 @@
             queue.pause(endpoint, now, selection.SHED_PAUSE)
         elif release.result == "done":
             self.suspicion.register.on_finished(release.fingerprint)
+        self.suspicion.on_released(release.service, release.number)
         queue.release(release.number)
         self.pump(queue)
         return spread
--- a/flamingotiller/suspicion.py
+++ b/flamingotiller/suspicion.py
@@ -30,6 +30,7 @@
         self._process = process
         self.register = quarantine.Register()
         self._listed: set[str] = set()
+        self._telling_by_permit: dict[tuple[str, int], asyncio.Future[None]] = {}
 
     def follow_configuration(self) -> None:
         """Serves again what an operator has lifted since the last call."""
@@ -48,12 +49,19 @@
 
     def on_death(
         self, queue: selection.SlotQueue, number: int, endpoint: str
-    ) -> collections.abc.Coroutine | None:
-        """Notes a death; returns the work of telling the others, if there is any."""
+    ) -> collections.abc.Awaitable[None] | None:
+        """Notes a death.
+
+        Returns:
+            What ends when the others have been told, also for the requests whose part in the
+            death was noted by way of another; None when there is nothing to tell.
+        """
         now = self._process.clock.monotonic()
+        beside = queue.permits_beside(number)
         prints = queue.on_death(number)
         if not prints:
-            return None
+            telling = self._telling_by_permit.pop((queue.service, number), None)
+            return asyncio.shield(telling) if telling else None
         queue.pause(endpoint, now, selection.DEATH_PAUSE)
         events.emit(events.ENDPOINT_DIED, endpoint=endpoint, in_flight=len(prints))
         death = f"{self._process.config.instance}/{endpoint}/{secrets.token_hex(4)}"
@@ -61,7 +69,14 @@
         queue.mark_suspects(lambda print_: self.register.is_suspect(print_, now))
         held = self.register.suspect_by_fingerprint
         deaths = {p: sorted(held[p].deaths) for p in prints if p in held}
-        return self._spread(queue.service, deaths, newly)
+        telling = asyncio.ensure_future(self._spread(queue.service, deaths, newly))
+        for other in beside:
+            self._telling_by_permit[queue.service, other] = telling
+        return asyncio.shield(telling)
+
+    def on_released(self, service: str, number: int) -> None:
+        """Forgets a permit."""
+        self._telling_by_permit.pop((service, number), None)
 
     async def _spread(
         self, service: str, deaths: dict[str, list[str]], newly: dict[str, int]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,9 +1,10 @@
 """Crashing requests: found within the bound, innocents left alone."""
 
+import asyncio
 import random
 import types
 
-from flamingotiller import clock, quarantine, suspicion
+from flamingotiller import clock, quarantine, selection, suspicion
 
 
 def crash_history(rng, suspects, guilty, now):
@@ -98,3 +99,34 @@
     assert not watch.is_quarantined("a")
     # What the configuration has not listed yet stays.
     assert watch.is_quarantined("b")
+
+
+def test_every_request_at_a_dead_endpoint_waits_until_the_others_have_been_told():
+    async def scenario():
+        source = clock.ManualClock(clock.seconds(100))
+        config = types.SimpleNamespace(instance="a-1")
+        watch = suspicion.Suspicion(types.SimpleNamespace(clock=source, config=config))
+        told = asyncio.Event()
+
+        async def spread(service, deaths, newly):
+            await told.wait()
+
+        watch._spread = spread
+        queue = selection.SlotQueue("s")
+        endpoint = selection.Endpoint("e", "s", "addr", 3, 10, clock.seconds(1000))
+        queue.announce(endpoint, clock.ZERO)
+        for print_ in ("crashing", "other"):
+            queue.ask(
+                selection.Waiter("o", 1.0, clock.seconds(900), fingerprint=print_), clock.ZERO
+            )
+        first, second = [w.permit.number for w in queue.grant(source.monotonic())]
+        waiting = [
+            asyncio.ensure_future(watch.on_death(queue, number, "e")) for number in (first, second)
+        ]
+        await asyncio.sleep(0)
+        assert not any(item.done() for item in waiting)
+        told.set()
+        await asyncio.gather(*waiting)
+        assert watch.on_death(queue, second, "e") is None
+
+    asyncio.run(scenario())
