--- a/flamingotiller/membership.py
+++ b/flamingotiller/membership.py
@@ -77,6 +77,7 @@
         self._heard_at: dict[str, datetime.timedelta] = {own.instance: now}
         self._own_summary = ZoneSummary(own.zone, 0, {})
         self._stamped_at = now - RESTAMP_INTERVAL
+        self._started = now
         self._summary_heard_at: dict[str, datetime.timedelta] = {}
         self._changed_round: dict[str, int] = {own.instance: 0}
         self._round = 0
@@ -211,10 +212,15 @@
         live = [member for member in self.live(now) if not member.leaving]
         addresses = {member.instance: member.address for member in live[:ADDRESSES_PER_ZONE]}
         held = self._own_summary
+        known = self.summary_by_zone.get(self.own.zone)
+        # A member that has just started knows hardly anybody: its word counts where there is none.
+        settled = now - self._started >= self.timeout
+        if not settled and known and known.stamp > held.stamp:
+            return known
         if addresses != held.addresses or now - self._stamped_at >= RESTAMP_INTERVAL:
             # Epochs are calendar times, so a stamp of a restarted zone is higher than before.
-            newest = max((member.epoch + member.beat for member in live), default=0)
-            stamp = max(held.stamp + 1, newest)
+            newest = max(member.epoch + member.beat for member in live) if settled and live else 0
+            stamp = max(held.stamp + 1, newest, known.stamp + 1 if known else 0)
             self._own_summary = ZoneSummary(self.own.zone, stamp, addresses)
             self._stamped_at = now
         return self._own_summary
