Greet the instances of the own zone that other zones name until they are members

Cause: an instance that restarted while the last live member of its zone had already forgotten both others greeted only "strangers", and an address counted as known as soon as any zone's summary named it, the own zone's too. Another zone's answer named them, so they were never greeted; the only way left was the random exchange between zones, every sixth round, and each round took a second longer because a frozen seed was tried. Seen as a red run of test_killed_and_frozen_holders_are_replaced: neither instance became a member of the other's zone in 20 s, so no majority of seats was there and nothing was served.

Change: Table.strangers gives the seeds of which nothing is known and what other zones name as this zone's instances, less the members. The own zone's summary is now a source of addresses to try instead of a reason not to try.

Ruled out: leases (a vote for oneself that is renewed for ever needs two candidates that both see each other) and the silent list (the restarted run has a later epoch).

--- a/flamingotiller/gossip.py
+++ b/flamingotiller/gossip.py
@@ -56,10 +56,7 @@
 
     async def _exchange_in_zone(self) -> None:
         partner = self.table.partner(self._process.clock.monotonic(), self._rng)
-        known = {member.address for member in self.table.member_by_instance.values()}
-        for zone in self.table.summary_by_zone:
-            known.update(self.table.addresses_in(zone))
-        strangers = [seed for seed in self._process.config.seeds if seed not in known]
+        strangers = self.table.strangers(self._process.config.seeds)
         if partner:
             await self.exchange(partner.address)
         if strangers and (partner is None or self._is_due(ROUNDS_PER_SEED)):
--- a/flamingotiller/membership.py
+++ b/flamingotiller/membership.py
@@ -133,6 +133,25 @@
         others = [member for member in self.live(now) if member is not self.own]
         return rng.choice(others) if others else None
 
+    def strangers(self, seeds: typing.Iterable[str]) -> list[str]:
+        """Returns addresses to try for members of this zone that are not known.
+
+        These are the seeds of which nothing is known, and the instances that other zones name
+        as this zone's: after a restart or a cut within the zone they may be the only trace.
+
+        Args:
+            seeds: Addresses from the settings.
+        """
+        members = {member.address for member in self.member_by_instance.values()}
+        elsewhere = {
+            address
+            for zone in self.summary_by_zone
+            if zone != self.own.zone
+            for address in self.addresses_in(zone)
+        }
+        found = dict.fromkeys([*seeds, *self.addresses_in(self.own.zone)])
+        return [address for address in found if address not in members | elsewhere]
+
     # Messages within the zone
 
     def digest(self) -> dict[str, typing.Any]:
