Keep shares within the contract while it changes under holders that lag, move or restart

Cause: found by reading, then by fuzzing. (1) A holder that opened a bucket took the present share at once, while holders of other zones still acted on the version before: with zones a, b, c changed to a alone, a earned 100/s and b, c still 33/s each, for up to the freshness bound. (2) A process that went past two versions in one step saw no growth and did not wait. (3) A share was brought up to date only when it was next used. (4) A holder that could not confirm its configuration lent tokens of its old share to fresh zones. (5) Loans were numbered from one in each bucket, so a late word on a loan of the holder before put tokens back that were lent again under the same number.

The freshness bound may be 4.5 s at most, so that it fits in the delay of growth.

Ruled out: a delay for every new holder (refuses for 6 s at each move), calendar times, a round of leases per version.

--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -9,7 +9,17 @@
 import datetime
 import typing
 
-from flamingotiller import client, clock, contract, errors, kernel, lease, limiter, lookup
+from flamingotiller import (
+    client,
+    clock,
+    contract,
+    entitlement,
+    errors,
+    kernel,
+    lease,
+    limiter,
+    lookup,
+)
 
 if typing.TYPE_CHECKING:
     from flamingotiller import entry
@@ -62,10 +72,21 @@
 
     def __init__(self, process: entry.EntryInstance, kind: str) -> None:
         self._process = process
-        self._purses = limiter.PurseSet(kernel.limiters.get(kind))
+        self._purses = limiter.PurseSet(kernel.limiters.get(kind), process.rng)
         self._paused_until_by_zone: dict[str, datetime.timedelta] = {}
         self._demand_by_organisation: dict[str, _Demand] = {}
 
+    def on_version(self) -> None:
+        """Brings the shares up to date with a version that has just come into force."""
+        now = self._process.clock.monotonic()
+        zone = self._process.config.zone
+        contracts = self._process.feed.view.contract_by_organisation
+        for organisation, purse in list(self._purses.purse_by_organisation.items()):
+            if organisation not in contracts:
+                self._purses.drop(organisation)
+                continue
+            entitlement.follow(self._process.feed, organisation, zone, purse.bucket, now)
+
     def on_shard_lost(self, shard: int) -> None:
         """Forgets the purses of a shard that is not held any more."""
         for organisation in list(self._purses.purse_by_organisation):
@@ -81,10 +102,15 @@
         """
         if not self._process.shards.holds(lease.shard_of("organisation", organisation)):
             raise errors.UnavailableError("shard is not held here", step="take token")
-        now = self._process.clock.monotonic()
-        share = self._share(organisation)
-        purse = self._purses.get(organisation, share, now)
-        purse.bucket.set_share(share, now)
+        self._terms(organisation)
+        purse = self._purses.get(organisation)
+        if purse is None:
+            now = self._process.clock.monotonic()
+            zone = self._process.config.zone
+            first = entitlement.first_share(self._process.feed, organisation, zone)
+            purse = self._purses.open(organisation, first, now)
+            present = entitlement.share(self._process.feed.view, organisation, zone)
+            purse.bucket.set_share(present or first, now)
         return purse
 
     def _terms(self, organisation: str) -> tuple[contract.Contract, contract.Deployment]:
@@ -94,15 +120,8 @@
             raise errors.NotFoundError(f"{organisation} has no contract", step="take token")
         return terms, view.deployment
 
-    def _share(self, organisation: str) -> limiter.Share:
-        terms, deployment = self._terms(organisation)
-        return limiter.zone_share(
-            organisation,
-            terms.rate,
-            terms.burst,
-            self._process.config.zone,
-            deployment.zones_by_name,
-        )
+    def _is_fresh(self) -> bool:
+        return self._process.feed.is_fresh(self._process.config.freshness_bound)
 
     async def take(self, organisation: str) -> bool:
         """Takes a token for a request that arrived here.
@@ -124,7 +143,7 @@
 
     async def _take(self, organisation: str) -> bool:
         shard = lease.shard_of("organisation", organisation)
-        body = {"organisation": organisation}
+        body = {"organisation": organisation, "confirmed": self._is_fresh()}
         try:
             if self._process.shards.holds(shard):
                 return await self.take_here(organisation)
@@ -142,7 +161,8 @@
                 try:
                     answer = await self._process.client.call(
                         address, "POST", "/v1/tokens/take",
-                        {"organisation": organisation}, timeout=HOLDER_TIMEOUT,
+                        {"organisation": organisation, "confirmed": self._is_fresh()},
+                        timeout=HOLDER_TIMEOUT,
                     )  # fmt: skip
                     document = client.raise_for_status(answer, step="take token", peer=address)
                     return bool(document["taken"])
@@ -323,6 +343,10 @@
             return await self._process.shards.ask_holder(
                 shard, path, {**body, "hops": hops + 1}, LOAN_TIMEOUT
             )
+        # Others may have got what this zone's share has lost in a version that is not here yet.
+        # Those who cannot know either, and serve open routes only, go on with what they have.
+        if not self._is_fresh() and (path == "/v1/tokens/lend" or body.get("confirmed")):
+            raise errors.UnavailableError("the share cannot be confirmed now", step=path)
         if path == "/v1/tokens/take":
             return {"taken": await self.take_here(organisation)}
         return self._on_loan(path, organisation, body)
--- a/flamingotiller/configuration.py
+++ b/flamingotiller/configuration.py
@@ -81,6 +81,8 @@
         change_id: The change that set it.
         who: Who made that change.
         at: When, ISO 8601; for display only.
+        earlier: Version of the last change of it before that one; for a new item the last
+            version at which any item of its kind was removed, 0 for none.
     """
 
     value: typing.Any
@@ -88,6 +90,7 @@
     change_id: str
     who: str
     at: str
+    earlier: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,12 +194,15 @@
         version: Number of changes accepted so far.
         item_by_subject: Present items.
         verdict_by_change_id: Verdicts in order, the oldest beyond a bound forgotten.
+        removal_by_kind: Last version at which an item of a kind was removed; only where
+            changes are applied.
     """
 
     def __init__(self) -> None:
         self.version = 0
         self.item_by_subject: dict[str, Item] = {}
         self.verdict_by_change_id: collections.OrderedDict[str, Verdict] = collections.OrderedDict()
+        self.removal_by_kind: dict[str, int] = {}
         # Every change after this version stands in the recent list.
         self._complete_from = 0
         self._recent: collections.deque[tuple[int, str]] = collections.deque()
@@ -219,11 +225,14 @@
         if refuse:
             return refuse
         self.version += 1
+        kind = change.subject.partition("/")[0]
         if change.value is None:
             del self.item_by_subject[change.subject]
+            self.removal_by_kind[kind] = self.version
         else:
+            earlier = held_version or self.removal_by_kind.get(kind, 0)
             self.item_by_subject[change.subject] = Item(
-                change.value, self.version, change.change_id, change.who, change.at
+                change.value, self.version, change.change_id, change.who, change.at, earlier
             )
         self._remember(self.version, change.subject)
         return self._verdict(change, True, held_version, self.version)
@@ -330,12 +339,21 @@
             # The exact version of a removal is not sent; the delta's own is late enough.
             self._remember(item.version if item else version, subject)
 
+    def changed_twice_since(self, version: int) -> frozenset[str]:
+        """Returns the subjects that may have changed more than once after a version."""
+        return frozenset(
+            subject
+            for subject, item in self.item_by_subject.items()
+            if item.version > version and item.earlier > version
+        )
+
     def to_wire(self) -> dict[str, typing.Any]:
         """Returns the whole state, for snapshots."""
         return {
             "version": self.version,
             "items": {s: dataclasses.asdict(i) for s, i in self.item_by_subject.items()},
             "verdicts": [dataclasses.asdict(v) for v in self.verdict_by_change_id.values()],
+            "removals": self.removal_by_kind,
         }
 
     @classmethod
@@ -344,6 +362,7 @@
         state = cls()
         state.version = state._complete_from = document["version"]
         state.item_by_subject = {s: Item(**i) for s, i in document["items"].items()}
+        state.removal_by_kind = dict(document.get("removals", {}))
         for fields in document["verdicts"]:
             verdict = Verdict(**fields)
             state.verdict_by_change_id[verdict.change_id] = verdict
--- a/flamingotiller/entry.py
+++ b/flamingotiller/entry.py
@@ -80,7 +80,7 @@
     ) -> None:
         self.config = config
         super().__init__(config, tokens, clk, kernel.entry_routes)
-        self._rng = rng
+        self.rng = rng
         self._background: set[asyncio.Task[typing.Any]] = set()
         self._ranking_by_key: dict[tuple[str, str | None], Ranking] = {}
         self._blocks: tuple[int, address_blocks.BlockTable] | None = None
@@ -99,7 +99,7 @@
         own = membership.Member(self.config.instance, self.config.zone, self.address, epoch)
         now = self.clock.monotonic()
         self.table = membership.Table(own, now, self.config.member_timeout)
-        self.gossip = gossip.Gossip(self, self.table, self._rng)
+        self.gossip = gossip.Gossip(self, self.table, self.rng)
         self.shards = shards.Shards(self)
         self.admission = admission.Admission(self, self.config.limiter)
         self.slots = slots.Slots(self)
--- a/flamingotiller/feed.py
+++ b/flamingotiller/feed.py
@@ -18,6 +18,7 @@
 REPORT_INTERVAL = clock.seconds(4)
 REPORT_LIFETIME = clock.seconds(15)
 FAN_OUT = 4
+HISTORY = clock.seconds(10)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +40,21 @@
     stamp: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Replaced:
+    """A version that was in force here and is not any more.
+
+    Attributes:
+        view: What it said.
+        until: When it was replaced.
+        unseen: Subjects that may have had other values before the next version in force here.
+    """
+
+    view: configuration.View
+    until: datetime.timedelta
+    unseen: frozenset[str]
+
+
 class Feed:
     """The configuration that this process has, and how fresh it is.
 
@@ -59,6 +75,9 @@
         self.view = configuration.View(state)
         self._clock = clk
         self._as_of: datetime.timedelta | None = None
+        # The version in force had been accepted by then.
+        self._since = clk.monotonic()
+        self._replaced: list[Replaced] = []
         self._pending: tuple[int, datetime.timedelta] | None = None
         self._published: datetime.timedelta | None = None
         self._news = asyncio.Event()
@@ -90,6 +109,11 @@
 
     def refresh(self) -> None:
         """Puts the present state in force and tells subscribers."""
+        now = self._clock.monotonic()
+        unseen = self.state.changed_twice_since(self.view.version)
+        self._replaced = [row for row in self._replaced if now - row.until <= HISTORY]
+        self._replaced.append(Replaced(self.view, now, unseen))
+        self._since = now
         self.view = configuration.View(self.state)
         self._settle()
         self._wake()
@@ -145,6 +169,7 @@
             "delta": delta,
             "age_s": None if age is None else age.total_seconds(),
             "held_s": held.total_seconds(),
+            "since_s": (self._clock.monotonic() - self._since).total_seconds(),
         }
 
     async def _wait_news(self) -> None:
@@ -170,10 +195,13 @@
         """
         try:
             version, age, held = answer["version"], answer["age_s"], float(answer["held_s"])
+            since = self._clock.monotonic() - clock.seconds(float(answer.get("since_s", 0.0)))
             if answer["delta"] is not None and not self.absorb(answer["delta"]):
                 return False
             if version < self.version:
                 return False
+            if version == self.version:
+                self._since = min(self._since, since)
             if age is not None and version <= self.version:
                 # The peer stated its age no earlier than the request plus the time it held it.
                 self.confirm(version, sent + clock.seconds(held) - clock.seconds(float(age)))
@@ -181,6 +209,24 @@
         except (KeyError, TypeError, ValueError, errors.InvalidInputError) as error:
             raise errors.ProtocolError(f"bad answer of a feed: {error}", peer=peer) from error
 
+    def last_replaced(self) -> Replaced | None:
+        """Returns the version that was in force here before the present one, if lately."""
+        return self._replaced[-1] if self._replaced else None
+
+    def replaced_within(self, span: datetime.timedelta) -> list[Replaced]:
+        """Returns the versions that others may have acted on within a span, the newest last.
+
+        A process that started within the span has among them the empty version that it started
+        with, whose unseen subjects are all that ever changed.
+
+        Args:
+            span: At most ``HISTORY``.
+        """
+        now = self._clock.monotonic()
+        if now - self._since >= span:
+            return []
+        return [row for row in self._replaced if now - row.until < span]
+
     def _note(self, reports: dict[str, Report], now: datetime.timedelta) -> None:
         for name, report in reports.items():
             held = self._report_by_name.get(name)
--- a/flamingotiller/limiter.py
+++ b/flamingotiller/limiter.py
@@ -11,6 +11,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import random
 import typing
 
 from flamingotiller import clock, kernel, lease
@@ -25,6 +26,12 @@
 # A loan is void this long after it was asked for.
 LOAN_LIFETIME = clock.seconds(1)
 
+NUMBER_BITS = 52
+
+# A process acts on a version for at most this long after the next one was accepted, with the
+# lifetime of a loan and clocks of different speed allowed for.
+MAX_FRESHNESS_BOUND = 0.9 * (GROWTH_DELAY - LOAN_LIFETIME)
+
 # A zone's share of a small burst would be full, and waste what it earns, while others are empty.
 MIN_SHARE_BURST = 25.0
 
@@ -115,14 +122,16 @@
     Args:
         share: The zone's share.
         now: Monotonic time.
+        first_number: Number of the first loan. A late word on a loan of an earlier bucket must not
+            be taken for one of this bucket's, so buckets start far apart.
     """
 
-    def __init__(self, share: Share, now: datetime.timedelta) -> None:
+    def __init__(self, share: Share, now: datetime.timedelta, first_number: int = 1) -> None:
         self._share = share
         self._grown: tuple[datetime.timedelta, Share] | None = None
         self._tokens = 0.0
         self._at = now
-        self._next_number = 1
+        self._next_number = first_number
         self._on_loan: dict[int, _OnLoan] = {}
 
     def tokens(self, now: datetime.timedelta) -> float:
@@ -319,17 +328,28 @@
 
     Args:
         kind: Class of the buckets.
+        rng: Source of the numbers of loans.
     """
 
-    def __init__(self, kind: type[Bucket]) -> None:
+    def __init__(self, kind: type[Bucket], rng: random.Random) -> None:
         self._kind: typing.Any = kind
+        self._rng = rng
         self.purse_by_organisation: dict[str, Purse] = {}
 
-    def get(self, organisation: str, share: Share, now: datetime.timedelta) -> Purse:
-        """Returns the purse of an organisation, an empty one at first."""
-        purse = self.purse_by_organisation.get(organisation)
-        if purse is None:
-            purse = self.purse_by_organisation[organisation] = Purse(self._kind(share, now))
+    def get(self, organisation: str) -> Purse | None:
+        """Returns the purse of an organisation, None before it was opened."""
+        return self.purse_by_organisation.get(organisation)
+
+    def open(self, organisation: str, share: Share, now: datetime.timedelta) -> Purse:
+        """Opens an empty purse for an organisation.
+
+        Args:
+            organisation: Its name.
+            share: The share to begin with.
+            now: Monotonic time.
+        """
+        bucket = self._kind(share, now, self._rng.getrandbits(NUMBER_BITS))
+        purse = self.purse_by_organisation[organisation] = Purse(bucket)
         return purse
 
     def drop(self, organisation: str) -> None:
--- a/flamingotiller/settings.py
+++ b/flamingotiller/settings.py
@@ -14,7 +14,7 @@
 
 import pydantic
 
-from flamingotiller import clock, contract, errors
+from flamingotiller import clock, contract, errors, limiter
 
 PREFIX = "FLAMINGOTILLER_"
 _ADDRESS = re.compile(r"^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$")
@@ -105,6 +105,7 @@
     )
     freshness_bound: contract.Duration = pydantic.Field(
         default=clock.seconds(4),
+        le=limiter.MAX_FRESHNESS_BOUND,
         description="age of the last confirmation past which keyed routes are refused",
     )
     lease: contract.Duration = pydantic.Field(
--- a/flamingotiller/subscription.py
+++ b/flamingotiller/subscription.py
@@ -81,6 +81,7 @@
             return False
         if process.feed.version != held:
             events.emit(events.VERSION_IN_FORCE, version=process.feed.version, source=source)
+            process.admission.on_version()
             self._note_drains()
         # A source that is not fresh itself is left for one that is.
         return process.feed.is_fresh(process.config.freshness_bound / 2) or not at_once
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -87,7 +87,7 @@
     apply(ahead, 1)
     behind.absorb(ahead.state.delta(0))
     apply(ahead, 2)
-    answer = {"version": 2, "delta": None, "age_s": 0.0, "held_s": 0.0}
+    answer = {"version": 2, "delta": None, "age_s": 0.0, "held_s": 0.0, "since_s": 0.0}
     assert not ahead.take(answer, source.monotonic(), "b")
     assert ahead.version == 3
     assert ahead.age() is None
@@ -107,7 +107,9 @@
     assert "c" not in parent.reports()
 
 
-@pytest.mark.parametrize("answer", [{}, {"version": 1, "delta": {}, "age_s": 0, "held_s": 0}])
+@pytest.mark.parametrize(
+    "answer", [{}, {"version": 1, "delta": {}, "age_s": 0, "held_s": 0, "since_s": 0}]
+)
 def test_malformed_answer_is_refused(answer):
     item = new_feed("a", clock.ManualClock())
     with pytest.raises(errors.ProtocolError):
