Look in other zones for a slot while the holder does not answer

Found beside it: a lost release kept its slot until the request's deadline; permits were numbered from one in each queue, so that a late word on a permit of an earlier queue freed, or blamed for a death, another request; one instance without an answer shut its whole zone off for 2 s.

Change: after 0.5 s without an answer an instance asks other zones for a free slot beside its question and takes what comes first, giving the late one back. The token's question waits 1 s instead of 2 s, and not at all for a silent holder. Releases are said up to three times. Permits are numbered from a random start. Instances of other zones are passed over one by one.

Ruled out: asking the holder again under an identity of the question; shorter leases.

--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -25,7 +25,7 @@
     from flamingotiller import entry
 
 LOAN_TIMEOUT = clock.seconds(0.5)
-HOLDER_TIMEOUT = clock.seconds(2)
+HOLDER_TIMEOUT = clock.seconds(1)
 # Demand of this long is borrowed ahead while it lasts.
 AHEAD = clock.seconds(0.5)
 AHEAD_PAUSE = clock.seconds(0.1)
@@ -147,6 +147,8 @@
         try:
             if self._process.shards.holds(shard):
                 return await self.take_here(organisation)
+            if self._process.shards.is_silent(shard):
+                return await self._take_elsewhere(organisation)
             document = await self._process.shards.ask_holder(
                 shard, "/v1/tokens/take", body, HOLDER_TIMEOUT
             )
--- a/flamingotiller/selection.py
+++ b/flamingotiller/selection.py
@@ -187,16 +187,17 @@
 
     Args:
         service: The service.
+        first_number: Number of the first permit.
     """
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, first_number: int = 1) -> None:
         self.service = service
         self.station_by_name: dict[str, _Station] = {}
         self._heap: list[tuple[float, int, Waiter]] = []
         self._waiting = 0
         self._virtual = 0.0
         self._finish_by_organisation: dict[str, float] = {}
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(first_number)
         self._station_by_permit: dict[int, _Station] = {}
         self._spill_ramp: shift.Ramp | None = None
         self._displaced: list[Waiter] = []
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -16,6 +16,7 @@
     errors,
     events,
     lease,
+    limiter,
     lookup,
     region_links,
     selection,
@@ -26,12 +27,15 @@
 if typing.TYPE_CHECKING:
     from flamingotiller import entry
 
+# A holder that has not answered may be frozen, or has a long queue.
+HOLDER_PATIENCE = clock.seconds(0.5)
+RELEASE_TRIES = 3
 PUMP_INTERVAL = clock.seconds(0.02)
 IDLE_PUMP_INTERVAL = clock.seconds(0.2)
 SPILL_TIMEOUT = clock.seconds(0.5)
 RELEASE_TIMEOUT = clock.seconds(1)
 SPILL_PAUSE = clock.seconds(0.05)
-# A zone that did not answer is not asked again for this long.
+# An instance that did not answer is not asked again for this long.
 UNREACHABLE_PAUSE = clock.seconds(2)
 SPILL_WHEN_WAITING_PER_SLOT = 1 / 3
 
@@ -50,7 +54,7 @@
         self._future_by_waiter: dict[selection.Waiter, asyncio.Future[None]] = {}
         self._links = region_links.RegionLinks(process)
         self._spilled_from: dict[int, str] = {}
-        self._unreachable_until_by_zone: dict[str, datetime.timedelta] = {}
+        self._unreachable_until_by_address: dict[str, datetime.timedelta] = {}
         self._spill_closed_until: dict[str, datetime.timedelta] = {}
 
     # The instance that runs a request
@@ -71,16 +75,47 @@
             try:
                 if self._process.shards.holds(shard):
                     return await self.ask_here(current)
-                document = await self._process.shards.ask_holder(
-                    shard, "/v1/slots/ask", current.to_wire(), left + SPILL_TIMEOUT
-                )
-                return self._granted(document)
+                return await self._ask_holder(shard, current)
             except (errors.UnavailableError, errors.TransportError, KeyError, TypeError):
                 granted = await self._ask_other_zones(current)
                 if granted:
                     return granted
                 await asyncio.sleep(min(0.1, left.total_seconds()))
 
+    async def _ask_holder(self, shard: int, ask: slot_messages.Ask) -> slot_messages.Granted:
+        """Asks the holder, and other zones too while it does not answer.
+
+        Raises:
+            errors.RefusedError: The holder refuses.
+            errors.UnavailableError: Nobody is known to hold the shard.
+            errors.TransportError: The holder cannot be reached.
+        """
+        shards = self._process.shards
+        began = self._process.clock.monotonic()
+        patience = clock.ZERO if shards.is_silent(shard) else HOLDER_PATIENCE
+        question = asyncio.ensure_future(self._question(shard, ask))
+        try:
+            while True:
+                await asyncio.wait({question}, timeout=patience.total_seconds())
+                patience = HOLDER_PATIENCE
+                if not question.done():
+                    shards.note_late(shard, began)
+                elsewhere = None if question.done() else await self._spill_unless(question, ask)
+                if elsewhere:
+                    question.add_done_callback(self._give_back)
+                    return elsewhere
+                if question.done():
+                    return question.result()
+        finally:
+            question.cancel()
+
+    async def _question(self, shard: int, ask: slot_messages.Ask) -> slot_messages.Granted:
+        timeout = clock.seconds(ask.deadline_s) + SPILL_TIMEOUT
+        document = await self._process.shards.ask_holder(
+            shard, "/v1/slots/ask", ask.to_wire(), timeout
+        )
+        return self._granted(document)
+
     def _granted(self, document: typing.Any) -> slot_messages.Granted:
         if "refused" in document:
             raise slot_messages.refusal(str(document["refused"]))
@@ -96,14 +131,19 @@
             if spread:
                 await spread
             return
-        try:
-            await self._process.client.call(
-                granted.queue, "POST", "/v1/slots/release",
-                dataclasses.asdict(release), timeout=RELEASE_TIMEOUT,
-            )  # fmt: skip
-        except errors.TransportError:
-            # The queue takes the permit back once the request's deadline has passed.
-            return
+        for _ in range(RELEASE_TRIES):
+            try:
+                await self._process.client.call(
+                    granted.queue, "POST", "/v1/slots/release",
+                    dataclasses.asdict(release), timeout=RELEASE_TIMEOUT,
+                )  # fmt: skip
+                return
+            except errors.ExchangeTimeoutError:
+                # Said again, it changes nothing more.
+                continue
+            except errors.TransportError:
+                return
+        # The queue takes the permit back once the request's deadline has passed.
 
     # The holder
 
@@ -111,7 +151,9 @@
         """Returns the queue of a service."""
         queue = self.queue_by_service.get(service)
         if queue is None:
-            queue = self.queue_by_service[service] = selection.SlotQueue(service)
+            # What is said of a permit of an earlier queue must not meet one of this queue.
+            first = self._process.rng.getrandbits(limiter.NUMBER_BITS)
+            queue = self.queue_by_service[service] = selection.SlotQueue(service, first)
         return queue
 
     def on_shard_lost(self, shard: int) -> None:
@@ -202,9 +244,9 @@
         return None
 
     async def _spill_unless(
-        self, future: asyncio.Future[None], ask: slot_messages.Ask
+        self, future: asyncio.Future[typing.Any], ask: slot_messages.Ask
     ) -> slot_messages.Granted | None:
-        """Looks for a slot in other zones until one here is granted first."""
+        """Looks for a slot in other zones until there is an answer here."""
         spill = asyncio.ensure_future(self._ask_other_zones(ask))
         either: set[asyncio.Future[typing.Any]] = {future, spill}
         try:
@@ -215,8 +257,8 @@
                 spill.add_done_callback(self._give_back)
         return spill.result() if spill.done() else None
 
-    def _give_back(self, spill: asyncio.Future[slot_messages.Granted | None]) -> None:
-        if spill.cancelled() or spill.exception() or not (granted := spill.result()):
+    def _give_back(self, late: asyncio.Future[typing.Any]) -> None:
+        if late.cancelled() or late.exception() or not (granted := late.result()):
             return
         unused = slot_messages.Release(granted.number, granted.service, "unused")
         self._process.background(self.release(granted, unused))
@@ -334,9 +376,7 @@
         body = dataclasses.replace(ask, spill=True, zone=self._process.config.zone).to_wire()
         view = self._process.feed.view
         for zone in lookup.neighbours(view, self._process.config.zone):
-            if now < self._unreachable_until_by_zone.get(zone, clock.ZERO):
-                continue
-            for address in self._process.table.addresses_in(zone)[:1]:
+            for address in self._answering(zone)[:1]:
                 try:
                     answer = await self._process.client.call(
                         address, "POST", "/v1/slots/ask", body, timeout=SPILL_TIMEOUT
@@ -346,13 +386,27 @@
                         return slot_messages.Granted(**document["granted"])
                 except errors.TransportError:
                     until = self._process.clock.monotonic() + UNREACHABLE_PAUSE
-                    self._unreachable_until_by_zone[zone] = until
+                    self._unreachable_until_by_address[address] = until
                 except (errors.FlamingotillerError, KeyError, TypeError):
                     continue
         # Those that wait do not all ask again at once.
         self._spill_closed_until[ask.service] = self._process.clock.monotonic() + SPILL_PAUSE
         return None
 
+    def _answering(self, zone: str) -> list[str]:
+        """Returns the addresses in a zone but for those that have just not answered."""
+        now = self._process.clock.monotonic()
+        self._unreachable_until_by_address = {
+            address: until
+            for address, until in self._unreachable_until_by_address.items()
+            if now < until
+        }
+        return [
+            address
+            for address in self._process.table.addresses_in(zone)
+            if address not in self._unreachable_until_by_address
+        ]
+
     def _spill_here(
         self, ask: slot_messages.Ask, queue: selection.SlotQueue, now: datetime.timedelta
     ) -> slot_messages.Granted:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -9,11 +9,12 @@
 import json
 import pathlib
 import random
+import signal
 import time
 import typing
 
 from flamingotiller import address_blocks, configuration, limiter
-from tools import live, metering, queueing, spilling
+from tools import freezing, live, losing, metering, queueing, spilling
 
 BUILD = pathlib.Path("build")
 POLICIES = ("slot_permits", "least_own", "two_choices", "random", "least_reported")
@@ -253,6 +254,37 @@
     ]  # fmt: skip
 
 
+async def loss() -> list[Figure]:
+    """Measures changes, withdrawals and leaving endpoints with messages lost and delayed."""
+    figures = []
+    for part in (0.0, 0.1):
+        setup = losing.Setup(lost=part, delayed=part)
+        outcome = await losing.run(setup)
+        name = f"loss/{part:.0%} lost, {part:.0%} delayed"
+        figures += [
+            figure(f"{name}/in force, largest", max(outcome.in_force), "s"),
+            figure(f"{name}/key withdrawn, largest", max(outcome.withdrawn), "s", ("<=", 5.0)),
+            figure(f"{name}/endpoint left, largest", max(outcome.left), "s", ("<=", 3.0)),
+            figure(f"{name}/wrongful refusals", outcome.refused, f"of {outcome.sent}"),
+        ]
+    return figures
+
+
+async def freeze() -> list[Figure]:
+    """Measures what callers notice of the failure of the instance that hands out slots."""
+    figures = []
+    for number in (signal.SIGSTOP, signal.SIGKILL):
+        outcome = await freezing.run(number)
+        latencies = outcome.latencies_s
+        name = f"freeze/{number.name}"
+        figures += [
+            figure(f"{name}/wrongful refusals", outcome.refused, f"of {len(latencies)}"),
+            figure(f"{name}/latency p99", latencies[int(0.99 * len(latencies))], "s"),
+            figure(f"{name}/latency max", latencies[-1], "s"),
+        ]
+    return figures
+
+
 OFFLINE = {
     "selection": selection,
     "fairness": fairness,
@@ -261,7 +293,7 @@
     "state": state,
     "spill": spill,
 }
-LIVE = {"nodes": nodes, "spread": spread, "path": path}
+LIVE = {"nodes": nodes, "spread": spread, "path": path, "loss": loss, "freeze": freeze}
 
 
 def table(figures: typing.Sequence[Figure]) -> str:
