Fuzz membership against kills, freezes, one-way cuts, late messages and clocks that went back

Change: a state machine of four members and a zone beside them. At every step nobody is known by a run that never was; after everything has healed all that run know each other by their present runs, the dead are gone, and the other zone knows exactly those addresses.

Planted mistakes are caught: forgetting that a member had fallen silent (a dead one is told back and forth for ever), and a run that does not step over a later epoch of its name.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,7 +1,11 @@
 """Membership: gossip converges, restarts are seen, silence is noticed, sizes stay bounded."""
 
+import itertools
 import random
 
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
 import orjson
 import pytest
 
@@ -170,3 +174,189 @@
     record = membership.Member("a-3", "a", "addr-3", 7)
     table.merge({"zone": "a", "beats": {}, "records": [record.to_wire()]}, clock.ZERO)
     assert table.strangers(seeds) == ["addr-2", "addr-c"]
+
+
+class MembershipMachine(stateful.RuleBasedStateMachine):
+    """Four instances of a zone and one of another; in the end all that run know each other."""
+
+    kind = membership.Table
+    names = ("i0", "i1", "i2", "i3")
+
+    def __init__(self):
+        super().__init__()
+        self.now = clock.seconds(1000)
+        self.newest = dict.fromkeys(self.names, 0)
+        self.tables = {}
+        self.frozen = set()
+        self.cut = set()
+        self.late = []
+        self.other = membership.Table(
+            membership.Member("x", "other", "addr-x", 1), self.now, TIMEOUT
+        )
+        for name in self.names:
+            self.start(name, 1)
+
+    def start(self, name, epoch):
+        self.newest[name] = max(self.newest[name], epoch)
+        own = membership.Member(name, "z", f"addr-{name}", epoch)
+        self.tables[name] = self.kind(own, self.now, TIMEOUT)
+
+    def reaches(self, sender, receiver):
+        # A frozen process neither answers nor takes part.
+        return (sender, receiver) not in self.cut and receiver in self.tables.keys() - self.frozen
+
+    def send(self, sender, receiver, digest):
+        """One way; returns what the receiver wants to know, None when nothing came."""
+        if not self.reaches(sender, receiver):
+            return None
+        self.late.append((receiver, digest))
+        return self.tables[receiver].merge(digest, self.now)
+
+    def exchange(self, a, b):
+        if a not in self.tables.keys() - self.frozen or a == b:
+            return
+        wanted = self.send(a, b, self.tables[a].digest())
+        if wanted is None:
+            return
+        wanted_back = self.send(b, a, self.tables[b].digest())
+        self.send(a, b, self.records(a, wanted))
+        if wanted_back:
+            self.send(b, a, self.records(b, wanted_back))
+
+    def records(self, name, wanted):
+        return {"zone": "z", "beats": {}, "records": self.tables[name].records(wanted)}
+
+    @stateful.rule(seconds=st.sampled_from([0.5, 1, 1, 4, 6, 60]))
+    def time_passes(self, seconds):
+        self.now += clock.seconds(seconds)
+        for name, table in self.tables.items():
+            if name not in self.frozen:
+                table.beat(1)
+                table.prune(self.now)
+
+    @stateful.rule(a=st.sampled_from(names), b=st.sampled_from(names))
+    def one_exchange(self, a, b):
+        self.exchange(a, b)
+
+    @stateful.rule(number=st.integers(0, 999))
+    def late_or_doubled_message(self, number):
+        if self.late:
+            receiver, digest = self.late[number % len(self.late)]
+            if self.reaches("", receiver):
+                self.tables[receiver].merge(digest, self.now)
+
+    @stateful.rule(sender=st.sampled_from(names), receiver=st.sampled_from(names))
+    def cut_one_way(self, sender, receiver):
+        self.cut ^= {(sender, receiver)}
+
+    @stateful.rule(name=st.sampled_from(names))
+    def freeze_or_go_on(self, name):
+        self.frozen ^= {name}
+
+    @stateful.rule(name=st.sampled_from(names))
+    def kill(self, name):
+        if len(self.tables) > 1:
+            self.tables.pop(name, None)
+
+    @stateful.rule(name=st.sampled_from(names), clock_went_back=st.booleans())
+    def restart(self, name, clock_went_back):
+        if name not in self.tables:
+            held = self.newest[name]
+            self.start(name, max(1, held - 1) if clock_went_back else held + 1)
+
+    @stateful.rule(name=st.sampled_from(names))
+    def tell_other_zone(self, name):
+        if name in self.tables.keys() - self.frozen:
+            table = self.tables[name]
+            news = table.summaries(self.now, self.other.stamps(self.now))
+            self.other.merge_summaries(news, self.now)
+            table.merge_summaries(self.other.summaries(self.now), self.now)
+
+    @stateful.invariant()
+    def nobody_is_known_by_a_run_that_never_was(self):
+        for name, table in self.tables.items():
+            self.newest[name] = max(self.newest[name], table.own.epoch)
+        for table in self.tables.values():
+            for name, member in table.member_by_instance.items():
+                assert member.epoch <= self.newest[name]
+
+    def teardown(self):
+        self.cut.clear()
+        self.frozen.clear()
+        self.time_passes(0.5)
+        # Settings name every seat as a seed, so those that nobody knows are greeted too.
+        for _ in range(15):
+            self.time_passes(1)
+            for a, b in itertools.permutations(self.names, 2):
+                self.exchange(a, b)
+            self.nobody_is_known_by_a_run_that_never_was()
+        expected = {name: table.own.epoch for name, table in self.tables.items()}
+        for table in self.tables.values():
+            assert {m.instance: m.epoch for m in table.live(self.now)} == expected
+        for name in self.tables:
+            self.tell_other_zone(name)
+        assert sorted(self.other.addresses_in("z")) == sorted(f"addr-{n}" for n in expected)
+
+
+MembershipMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestMembership = MembershipMachine.TestCase
+
+
+class RemembersNoSilence(membership.Table):
+    """Mistake: a member that was forgotten comes back from the digests of others."""
+
+    def prune(self, now):
+        gone = super().prune(now)
+        self._silent_by_instance.clear()
+        return gone
+
+
+class LivesOnInThePast(membership.Table):
+    """Mistake: a run whose clock went back does not step over the run before."""
+
+    def _outlive(self, epoch, address):
+        return
+
+
+def dies_and_is_named_again(machine):
+    """Two members hear of a dead one at different times; each tells the other after it forgot."""
+    for a, b in itertools.permutations(machine.names, 2):
+        machine.exchange(a, b)
+    machine.time_passes(1)
+    machine.exchange("i3", "i0")
+    machine.kill("i3")
+    for _ in range(4):
+        machine.time_passes(4)
+        machine.exchange("i0", "i1")
+        machine.time_passes(2)
+        machine.exchange("i1", "i0")
+    assert "i3" not in {m.instance for m in machine.tables["i0"].live(machine.now)}
+
+
+def comes_back_with_an_older_clock(machine):
+    machine.kill("i3")
+    machine.restart("i3", False)
+    for a, b in itertools.permutations(machine.names, 2):
+        machine.exchange(a, b)
+    machine.nobody_is_known_by_a_run_that_never_was()
+    machine.kill("i3")
+    machine.restart("i3", True)
+    machine.teardown()
+
+
+@pytest.mark.parametrize(
+    ("mistake", "history"),
+    [
+        (RemembersNoSilence, dies_and_is_named_again),
+        (LivesOnInThePast, comes_back_with_an_older_clock),
+    ],
+)
+def test_planted_mistake_is_caught(mistake, history):
+    class Planted(MembershipMachine):
+        kind = mistake
+
+    history(MembershipMachine())
+    with pytest.raises(AssertionError):
+        history(Planted())
