Give no port twice, and none that an outgoing connection may take

Cause: a red run on a fresh clone. The port of a control instance was found free, let go, and found free again for an entry instance that listened first; the control instance ended with "cannot listen". The loopback's free port is one of the range for outgoing connections, so any connection may take it as well until its process listens.

Change: free_ports chooses from 20000 to 31999, below that range, and remembers what it gave.

Ruled out: the holders' leases, which the failing test is about: its processes never got as far.

--- a/flamingotiller/embedded.py
+++ b/flamingotiller/embedded.py
@@ -21,6 +21,9 @@
 )
 
 OPERATOR = "operator"
+LISTEN_PORTS = range(20_000, 32_000)
+_taken_ports: set[int] = set()
+_port_rng = random.SystemRandom()
 QUICK_CONTROL: dict[str, typing.Any] = {
     "election_timeout": clock.seconds(0.5),
     "heartbeat": clock.seconds(0.1),
@@ -197,15 +200,27 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports of the loopback address that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
+    """Returns ports of the loopback address that are free and were not returned before.
+
+    They are not of the range from which the system takes ports of outgoing connections, so they
+    stay free until the process that they are meant for listens.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = _port_rng.choice(LISTEN_PORTS)
+        if port not in _taken_ports and _is_free(port):
+            _taken_ports.add(port)
+            found.append(port)
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_embedded.py
+++ b/tests/test_embedded.py
@@ -131,3 +131,9 @@
             await sender.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_ports_are_not_given_twice_before_anybody_listens():
+    ports = [port for _ in range(50) for port in embedded.free_ports(4)]
+    assert len(set(ports)) == len(ports)
+    assert set(ports) <= set(embedded.LISTEN_PORTS)
