Count what planned stops cut, with kept connections, queues, streams and uploads

Cause: planned stops were shown with hundreds of short requests only; the aim is none of 10,000 under full load, streams and queues included.

Change: tools/stopping stops every instance of a zone by TERM and starts it again in turn; the emulated endpoint can stream and has a slot busy from the first byte of a request to the last but one of its answer. `make measure ARGS=stop`, and a test with shorter leases.

--- a/flamingotiller/endpoint_emulator.py
+++ b/flamingotiller/endpoint_emulator.py
@@ -13,6 +13,8 @@
 
 RENEW_INTERVAL = clock.seconds(1)
 ANNOUNCE_TIMEOUT = clock.seconds(1)
+STREAMED_CHUNK = bytes(1024)
+STREAM_PAUSE = clock.seconds(0.05)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,19 +142,26 @@
         self._server.abort()
 
     async def _handle(self, request: server.Request, reply: server.Reply) -> None:
-        body = await request.read()
         if self.busy >= self.profile.slots:
+            await request.read()
             self.shed_count += 1
             await reply.json(503, {"error": "busy"}, [(dispatch.NOT_RUN_HEADER, b"1")])
             return
         self.busy += 1
         self.peak = max(self.peak, self.busy)
         try:
+            body = await request.read()
             self._note(request)
             await self._work(request)
+            if "chunks" in request.query:
+                await self._stream(request, reply)
         finally:
             self.busy -= 1
-        await self._answer(request, reply, body)
+        # The slot is free before the caller can know that the answer has ended.
+        if reply.started:
+            await reply.finish()
+        else:
+            await self._answer(request, reply, body)
 
     def _note(self, request: server.Request) -> None:
         headers = {n.decode("latin-1"): v.decode("latin-1") for n, v in request.headers}
@@ -182,3 +191,11 @@
             "body_bytes": len(body),
         }
         await reply.json(200, document, [(dispatch.REQUEST_ID_HEADER, request_id.encode())])
+
+    async def _stream(self, request: server.Request, reply: server.Reply) -> None:
+        """Answers in chunks with pauses, all but the end, without saying how long the whole is."""
+        request_id = request.header("flamingotiller-request-id") or ""
+        await reply.start(200, [(dispatch.REQUEST_ID_HEADER, request_id.encode())])
+        for _ in range(int(request.query["chunks"])):
+            await reply.write(STREAMED_CHUNK)
+            await asyncio.sleep(STREAM_PAUSE.total_seconds())
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -12,7 +12,7 @@
 import pytest
 import test_processes
 
-from tools import losing, processes
+from tools import losing, processes, stopping
 
 SEATS = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1"]}
 CONTROLS = ["control-1", "control-2", "control-3"]
@@ -244,6 +244,14 @@
     assert not cut, (len(results), cut[:5])
 
 
+def test_planned_stops_of_every_instance_cut_no_queued_streamed_or_uploading_request():
+    quick = ("--lookup_lifetime=1s", "--lease=1s")
+    outcome = asyncio.run(stopping.run(1000, quick, restart_pause_s=1.2))
+    assert not outcome.faults, outcome.faults[:5]
+    assert outcome.stops >= stopping.INSTANCES
+    assert all(outcome.count_by_kind[kind] for kind in ("queued", "streamed", "uploaded"))
+
+
 def load(fleet, key, results, stop):
     """A caller as the interface asks for: it looks up again when an answer has run out."""
     instances, until = [], 0.0
--- a/tools/live.py
+++ b/tools/live.py
@@ -28,7 +28,15 @@
     "organisation": "growers",
     "rate": 100_000.0,
     "burst": 100_000.0,
-    "routes": [{"name": "search", "path": "/names", "service": "search", "idempotent": True}],
+    "routes": [
+        {
+            "name": "search",
+            "path": "/names",
+            "service": "search",
+            "methods": ["GET", "POST"],
+            "idempotent": True,
+        }
+    ],
 }
 
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -14,7 +14,7 @@
 import typing
 
 from flamingotiller import address_blocks, configuration, limiter
-from tools import freezing, live, losing, metering, queueing, spilling
+from tools import freezing, live, losing, metering, queueing, spilling, stopping
 
 BUILD = pathlib.Path("build")
 POLICIES = ("slot_permits", "least_own", "two_choices", "random", "least_reported")
@@ -285,6 +285,20 @@
     return figures
 
 
+async def stop() -> list[Figure]:
+    """Counts what planned stops cut."""
+    outcome = await stopping.run()
+    queued, streamed = outcome.count_by_kind["queued"], outcome.count_by_kind["streamed"]
+    name = f"stop/{outcome.stops} planned stops"
+    return [
+        figure(f"{name}/requests", outcome.count, "", (">=", 10_000.0)),
+        figure(f"{name}/of them queued", queued, ""),
+        figure(f"{name}/of them streamed", streamed, ""),
+        figure(f"{name}/of them uploads", outcome.count_by_kind["uploaded"], ""),
+        figure(f"{name}/cut or refused", len(outcome.faults), "", ("<=", 0.0)),
+    ]
+
+
 OFFLINE = {
     "selection": selection,
     "fairness": fairness,
@@ -293,7 +307,14 @@
     "state": state,
     "spill": spill,
 }
-LIVE = {"nodes": nodes, "spread": spread, "path": path, "loss": loss, "freeze": freeze}
+LIVE = {
+    "nodes": nodes,
+    "spread": spread,
+    "path": path,
+    "loss": loss,
+    "freeze": freeze,
+    "stop": stop,
+}
 
 
 def table(figures: typing.Sequence[Figure]) -> str:
