Give the replicas' messages and membership a module of their own

Change: replica_messages holds Members, the messages and their forms; nothing else moves.

Ruled out: splitting elections from replication, which share their whole state.

--- a/flamingotiller/control.py
+++ b/flamingotiller/control.py
@@ -24,6 +24,7 @@
     journal,
     kernel,
     replica,
+    replica_messages,
     settings,
 )
 
@@ -42,8 +43,8 @@
     """A message of another member; the future takes the replies meant for its sender."""
 
     sender: str
-    message: replica.Message
-    replies: asyncio.Future[list[replica.Message]]
+    message: replica_messages.Message
+    replies: asyncio.Future[list[replica_messages.Message]]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,7 +59,7 @@
 class MembersProposal:
     """A membership change, computed from the membership in force."""
 
-    change: typing.Callable[[replica.Members], replica.Members]
+    change: typing.Callable[[replica_messages.Members], replica_messages.Members]
     result: asyncio.Future[typing.Any]
 
 
@@ -129,7 +130,7 @@
         self.config = config
         self._rng = rng
         self._inbox: asyncio.Queue[Inbound] = asyncio.Queue()
-        self._queue_by_peer: dict[str, asyncio.Queue[replica.Message]] = {}
+        self._queue_by_peer: dict[str, asyncio.Queue[replica_messages.Message]] = {}
         self._waiting: dict[int, list[tuple[int, asyncio.Future[typing.Any]]]] = {}
         self._applied = 0
         self._failed: errors.StorageError | None = None
@@ -252,7 +253,7 @@
         if entry.kind == "command":
             result = self.state.apply(entry.body)
         elif entry.kind == "members":
-            members = replica.Members(**entry.body)
+            members = replica_messages.Members(**entry.body)
             events.emit(
                 events.MEMBERS_CHANGED,
                 voters=sorted(members.voters),
@@ -290,7 +291,7 @@
 
     def _flush(self, batch: list[Inbound]) -> None:
         outbox, self.replica.outbox = self.replica.outbox, []
-        by_peer: dict[str, list[replica.Message]] = {}
+        by_peer: dict[str, list[replica_messages.Message]] = {}
         for identity, message in outbox:
             by_peer.setdefault(identity, []).append(message)
         for item in batch:
@@ -303,7 +304,7 @@
                     queue.get_nowait()
                 queue.put_nowait(message)
 
-    def _queue_for(self, identity: str) -> asyncio.Queue[replica.Message]:
+    def _queue_for(self, identity: str) -> asyncio.Queue[replica_messages.Message]:
         queue = self._queue_by_peer.get(identity)
         if queue is None:
             queue = self._queue_by_peer[identity] = asyncio.Queue(QUEUE_PER_PEER)
@@ -348,7 +349,7 @@
             if self._inbox.empty():
                 self._inbox.put_nowait(None)
 
-    async def _send(self, identity: str, queue: asyncio.Queue[replica.Message]) -> None:
+    async def _send(self, identity: str, queue: asyncio.Queue[replica_messages.Message]) -> None:
         """Sends a peer its messages in order; one without an answer does not hold up the rest."""
         unanswered = asyncio.Semaphore(MAX_UNANSWERED)
         async with asyncio.TaskGroup() as group:
@@ -359,23 +360,26 @@
                 task.add_done_callback(lambda _: unanswered.release())
                 await asyncio.wait([task], timeout=self.config.heartbeat.total_seconds())
 
-    async def _send_one(self, identity: str, message: replica.Message) -> None:
+    async def _send_one(self, identity: str, message: replica_messages.Message) -> None:
         address = self.replica.members.address_of(identity)
         if not address:
             return
-        body = {"sender": self.replica.identity, "message": replica.message_to_wire(message)}
+        body = {
+            "sender": self.replica.identity,
+            "message": replica_messages.message_to_wire(message),
+        }
         try:
             answer = await self.client.call(
                 address, "POST", "/v1/replica", body, timeout=PEER_TIMEOUT
             )
             document = client.raise_for_status(answer, step="replicate", peer=address)
             for reply in document["replies"]:
-                await self._deliver(identity, replica.message_from_wire(reply))
+                await self._deliver(identity, replica_messages.message_from_wire(reply))
         except (errors.FlamingotillerError, KeyError, TypeError):
             # Replication tolerates loss; the next heartbeat tries again.
             return
 
-    async def _deliver(self, sender: str, message: replica.Message) -> None:
+    async def _deliver(self, sender: str, message: replica_messages.Message) -> None:
         future = asyncio.get_running_loop().create_future()
         await self._inbox.put(PeerMessage(sender, message, future))
         for reply in await future:
@@ -419,7 +423,9 @@
         """Returns the leader's address, empty if unknown."""
         return self.replica.members.address_of(self.replica.leader)
 
-    async def receive(self, sender: str, message: replica.Message) -> list[replica.Message]:
+    async def receive(
+        self, sender: str, message: replica_messages.Message
+    ) -> list[replica_messages.Message]:
         """Hands a peer's message to the replica and returns the replies for the peer."""
         future = asyncio.get_running_loop().create_future()
         await self._inbox.put(PeerMessage(sender, message, future))
@@ -492,7 +498,7 @@
     journal.DiskJournal.create(folder, f"{instance}.0")
     with contextlib.closing(journal.DiskJournal(folder)) as store:
         voters = {f"{name}.0": address for name, address in address_by_instance.items()}
-        members = replica.Members(voters).to_wire()
+        members = replica_messages.Members(voters).to_wire()
         store.set_vote(1, "")
         store.append(journal.Entry(1, 1, "members", members))
         store.sync()
--- a/flamingotiller/control_routes.py
+++ b/flamingotiller/control_routes.py
@@ -14,7 +14,7 @@
     errors,
     events,
     kernel,
-    replica,
+    replica_messages,
     server,
     settings,
 )
@@ -97,8 +97,8 @@
     """Takes a message of another member and answers with the replies for it."""
     process.require_peer(request)
     body = await read_model(ReplicaRequest, request)
-    replies = await process.receive(body.sender, replica.message_from_wire(body.message))
-    await reply.json(200, {"replies": [replica.message_to_wire(item) for item in replies]})
+    replies = await process.receive(body.sender, replica_messages.message_from_wire(body.message))
+    await reply.json(200, {"replies": [replica_messages.message_to_wire(item) for item in replies]})
 
 
 @kernel.control_routes.register("POST /v1/feed")
@@ -277,7 +277,7 @@
     await reply.json(200, process.replica.members.to_wire())
 
 
-def _changed(held: replica.Members, body: MemberRequest) -> replica.Members:
+def _changed(held: replica_messages.Members, body: MemberRequest) -> replica_messages.Members:
     voters, learners = dict(held.voters), dict(held.learners)
     if body.action == "add":
         if not body.address:
@@ -294,4 +294,4 @@
             raise errors.NotFoundError(f"{body.identity} is no member", step="members")
         voters.pop(body.identity, None)
         learners.pop(body.identity, None)
-    return replica.Members(voters, learners)
+    return replica_messages.Members(voters, learners)
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -11,7 +11,7 @@
 import random
 import typing
 
-from flamingotiller import clock, errors, journal
+from flamingotiller import clock, errors, journal, replica_messages
 
 MAX_ENTRIES_PER_APPEND = 256
 
@@ -30,121 +30,6 @@
     election_timeout: datetime.timedelta = clock.seconds(1.5)
 
 
-@dataclasses.dataclass(frozen=True)
-class Members:
-    """Membership of the log.
-
-    Attributes:
-        voters: Address by identity of the members that elect and count for commitment.
-        learners: Address by identity of members that only receive the log.
-    """
-
-    voters: dict[str, str]
-    learners: dict[str, str] = dataclasses.field(default_factory=dict)
-
-    def address_of(self, identity: str) -> str:
-        """Returns a member's address, empty if unknown."""
-        return self.voters.get(identity) or self.learners.get(identity, "")
-
-    def to_wire(self) -> dict[str, dict[str, str]]:
-        """Returns the JSON form."""
-        return {"voters": self.voters, "learners": self.learners}
-
-    @property
-    def quorum(self) -> int:
-        """Smallest number of voters that is a majority."""
-        return len(self.voters) // 2 + 1
-
-
-@dataclasses.dataclass(frozen=True)
-class VoteRequest:
-    """Asks for a vote, or with ``pre`` whether one would be given."""
-
-    term: int
-    candidate: str
-    last_index: int
-    last_term: int
-    pre: bool
-
-
-@dataclasses.dataclass(frozen=True)
-class VoteReply:
-    """Answers a vote request."""
-
-    term: int
-    voter: str
-    granted: bool
-    pre: bool
-
-
-@dataclasses.dataclass(frozen=True)
-class Append:
-    """Sends entries, or none as a heartbeat. ``round`` numbers the leader's broadcasts."""
-
-    term: int
-    leader: str
-    previous_index: int
-    previous_term: int
-    entries: list[list[typing.Any]]
-    commit: int
-    round: int
-
-
-@dataclasses.dataclass(frozen=True)
-class AppendReply:
-    """Answers an append or a snapshot; ``match`` is the last index known to agree, or a hint."""
-
-    term: int
-    follower: str
-    ok: bool
-    match: int
-    round: int
-
-
-@dataclasses.dataclass(frozen=True)
-class InstallSnapshot:
-    """Sends a snapshot to a member that is behind the leader's log."""
-
-    term: int
-    leader: str
-    index: int
-    snapshot_term: int
-    members: typing.Any
-    state: typing.Any
-    round: int
-
-
-Message = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot
-
-MESSAGE_TYPE_BY_NAME: dict[str, type] = {
-    kind.__name__: kind for kind in (VoteRequest, VoteReply, Append, AppendReply, InstallSnapshot)
-}
-
-
-def message_to_wire(message: Message) -> dict[str, typing.Any]:
-    """Returns the JSON form of a message."""
-    return {"type": type(message).__name__, **dataclasses.asdict(message)}
-
-
-def message_from_wire(document: typing.Any) -> Message:
-    """Builds a message from its JSON form.
-
-    Raises:
-        errors.InvalidInputError: Not a message.
-    """
-    try:
-        fields = dict(document)
-        kind = MESSAGE_TYPE_BY_NAME[fields.pop("type")]
-        message = kind(**fields)
-        for field in dataclasses.fields(kind):
-            expected = {"int": int, "str": str, "bool": bool}.get(str(field.type))
-            if expected and type(getattr(message, field.name)) is not expected:
-                raise TypeError(f"{field.name} must be {field.type}")
-        return message
-    except (KeyError, TypeError, ValueError) as error:
-        raise errors.InvalidInputError(f"not a message: {error}", step="decode message") from error
-
-
 @dataclasses.dataclass
 class Progress:
     """What the leader knows of a member.
@@ -206,9 +91,9 @@
         self.role = "follower"
         self.leader = ""
         self.commit = store.snapshot.index
-        self.outbox: list[tuple[str, Message]] = []
+        self.outbox: list[tuple[str, replica_messages.Message]] = []
         self.confirmation: Confirmation | None = None
-        self._members_cache: tuple[int, Members] | None = None
+        self._members_cache: tuple[int, replica_messages.Members] | None = None
         self._rng = rng
         self._votes: set[str] = set()
         self._pre_votes: set[str] = set()
@@ -226,25 +111,27 @@
         return self.store.identity
 
     @property
-    def members(self) -> Members:
+    def members(self) -> replica_messages.Members:
         """The newest membership in the log, committed or not."""
         return self._newest_members()[1]
 
     def _members_index(self) -> int:
         return self._newest_members()[0]
 
-    def _newest_members(self) -> tuple[int, Members]:
+    def _newest_members(self) -> tuple[int, replica_messages.Members]:
         # Read with every message, so it is kept until an entry that may change it comes or goes.
         if self._members_cache is None:
             self._members_cache = self._find_members()
         return self._members_cache
 
-    def _find_members(self) -> tuple[int, Members]:
+    def _find_members(self) -> tuple[int, replica_messages.Members]:
         for entry in reversed(self.store.entries):
             if entry.kind == "members":
-                return entry.index, Members(**entry.body)
+                return entry.index, replica_messages.Members(**entry.body)
         held = self.store.snapshot.members
-        return self.store.snapshot.index, Members(**held) if held else Members({})
+        return self.store.snapshot.index, (
+            replica_messages.Members(**held) if held else replica_messages.Members({})
+        )
 
     @property
     def is_voter(self) -> bool:
@@ -311,7 +198,9 @@
         self._ask_votes(self.store.term, pre=False)
 
     def _ask_votes(self, term: int, *, pre: bool) -> None:
-        request = VoteRequest(term, self.identity, self.store.last_index, self.store.last_term, pre)
+        request = replica_messages.VoteRequest(
+            term, self.identity, self.store.last_index, self.store.last_term, pre
+        )
         for identity in self.members.voters:
             if identity != self.identity:
                 self.outbox.append((identity, request))
@@ -343,21 +232,23 @@
 
     # Messages
 
-    def receive(self, message: Message, now: datetime.timedelta) -> None:
+    def receive(self, message: replica_messages.Message, now: datetime.timedelta) -> None:
         """Handles a message of another member."""
         match message:
-            case VoteRequest():
+            case replica_messages.VoteRequest():
                 self._on_vote_request(message, now)
-            case VoteReply():
+            case replica_messages.VoteReply():
                 self._on_vote_reply(message, now)
-            case Append():
+            case replica_messages.Append():
                 self._on_append(message, now)
-            case AppendReply():
+            case replica_messages.AppendReply():
                 self._on_append_reply(message, now)
-            case InstallSnapshot():
+            case replica_messages.InstallSnapshot():
                 self._on_snapshot(message, now)
 
-    def _on_vote_request(self, request: VoteRequest, now: datetime.timedelta) -> None:
+    def _on_vote_request(
+        self, request: replica_messages.VoteRequest, now: datetime.timedelta
+    ) -> None:
         # A member that hears a leader answers no candidate: one that was cut off and comes back
         # with a higher term cannot unseat a working leader.
         hears_leader = self.role == "leader" or now - self._heard_at < self.timing.election_timeout
@@ -380,13 +271,13 @@
             self._reset_election_timer(now)
         self._reply_vote(request, granted=granted)
 
-    def _reply_vote(self, request: VoteRequest, *, granted: bool) -> None:
+    def _reply_vote(self, request: replica_messages.VoteRequest, *, granted: bool) -> None:
         granted = granted and self.is_voter
         term = request.term if request.pre and granted else self.store.term
-        reply = VoteReply(term, self.identity, granted, request.pre)
+        reply = replica_messages.VoteReply(term, self.identity, granted, request.pre)
         self.outbox.append((request.candidate, reply))
 
-    def _on_vote_reply(self, reply: VoteReply, now: datetime.timedelta) -> None:
+    def _on_vote_reply(self, reply: replica_messages.VoteReply, now: datetime.timedelta) -> None:
         if not reply.granted:
             if reply.term > self.store.term:
                 self._become_follower(reply.term, now)
@@ -413,7 +304,7 @@
         self._reset_election_timer(now)
         return True
 
-    def _on_append(self, message: Append, now: datetime.timedelta) -> None:
+    def _on_append(self, message: replica_messages.Append, now: datetime.timedelta) -> None:
         if not self._accept_leader(message.term, message.leader, now):
             self._reply_append(message.leader, False, 0, message.round)
             return
@@ -450,10 +341,14 @@
         self.store.append(entry)
 
     def _reply_append(self, leader: str, ok: bool, match: int, round_number: int) -> None:
-        reply = AppendReply(self.store.term, self.identity, ok, match, round_number)
+        reply = replica_messages.AppendReply(
+            self.store.term, self.identity, ok, match, round_number
+        )
         self.outbox.append((leader, reply))
 
-    def _on_snapshot(self, message: InstallSnapshot, now: datetime.timedelta) -> None:
+    def _on_snapshot(
+        self, message: replica_messages.InstallSnapshot, now: datetime.timedelta
+    ) -> None:
         if not self._accept_leader(message.term, message.leader, now):
             self._reply_append(message.leader, False, 0, message.round)
             return
@@ -469,7 +364,9 @@
                 self.commit = message.index
         self._reply_append(message.leader, True, message.index, message.round)
 
-    def _on_append_reply(self, reply: AppendReply, now: datetime.timedelta) -> None:
+    def _on_append_reply(
+        self, reply: replica_messages.AppendReply, now: datetime.timedelta
+    ) -> None:
         if reply.term > self.store.term:
             self._become_follower(reply.term, now)
             return
@@ -526,7 +423,7 @@
         entries = self.store.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
         if entries:
             progress.sent_through = entries[-1].index
-        message = Append(
+        message = replica_messages.Append(
             term=self.store.term,
             leader=self.identity,
             previous_index=previous,
@@ -540,7 +437,7 @@
     def _send_snapshot(self, identity: str, progress: Progress) -> None:
         snapshot = self.store.snapshot
         progress.sent_through = snapshot.index
-        message = InstallSnapshot(
+        message = replica_messages.InstallSnapshot(
             term=self.store.term,
             leader=self.identity,
             index=snapshot.index,
@@ -606,7 +503,9 @@
         self._heartbeat_due = now
         return index, self.store.term
 
-    def propose_members(self, members: Members, now: datetime.timedelta) -> tuple[int, int]:
+    def propose_members(
+        self, members: replica_messages.Members, now: datetime.timedelta
+    ) -> tuple[int, int]:
         """Changes the membership by at most one voter.
 
         Raises:
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -2,7 +2,7 @@
 
 import random
 
-from flamingotiller import clock, errors, journal, replica
+from flamingotiller import clock, errors, journal, replica, replica_messages
 
 TIMING = replica.Timing(clock.seconds(0.1), clock.seconds(0.5))
 
@@ -26,7 +26,7 @@
         for identity in voters:
             store = journal.MemoryJournal(identity)
             store.set_vote(1, "")
-            store.append(journal.Entry(1, 1, "members", replica.Members(voters).to_wire()))
+            store.append(journal.Entry(1, 1, "members", replica_messages.Members(voters).to_wire()))
             store.sync()
             self.open(store)
 
@@ -72,7 +72,7 @@
             del self.messages[position]
         if target in self.frozen or target not in self.nodes or (sender, target) in self.links_down:
             return
-        wire = replica.message_from_wire(replica.message_to_wire(message))
+        wire = replica_messages.message_from_wire(replica_messages.message_to_wire(message))
         self.nodes[target].receive(wire, self.now)
         self.flush(target)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,7 +6,7 @@
 import pytest
 import replica_cluster
 
-from flamingotiller import clock, errors, journal, replica
+from flamingotiller import clock, errors, journal, replica, replica_messages
 
 
 class ReplicationMachine(stateful.RuleBasedStateMachine):
@@ -96,9 +96,11 @@
         leader = self.cluster.leader()
         change = self.cluster.change_members
         for step in (
-            lambda m: replica.Members(dict(m.voters), {**m.learners, newcomer: "addr"}),
-            lambda m: replica.Members({**m.voters, newcomer: "addr"}, {}),
-            lambda m: replica.Members({k: v for k, v in m.voters.items() if k != victim}, {}),
+            lambda m: replica_messages.Members(dict(m.voters), {**m.learners, newcomer: "addr"}),
+            lambda m: replica_messages.Members({**m.voters, newcomer: "addr"}, {}),
+            lambda m: replica_messages.Members(
+                {k: v for k, v in m.voters.items() if k != victim}, {}
+            ),
         ):
             assert change(leader, step) is None
             self.cluster.run(1)
@@ -174,13 +176,13 @@
     victim, other = (n for n in cluster.nodes if n != leader)
     newcomer = cluster.lose_disk(victim)
     members = cluster.change_members
-    assert not members(leader, lambda m: replica.Members(m.voters, {newcomer: "addr"}))
+    assert not members(leader, lambda m: replica_messages.Members(m.voters, {newcomer: "addr"}))
     cluster.run(1)
-    assert not members(leader, lambda m: replica.Members({**m.voters, newcomer: "addr"}))
+    assert not members(leader, lambda m: replica_messages.Members({**m.voters, newcomer: "addr"}))
     cluster.run(1)
 
     def without(members):
-        return replica.Members({k: v for k, v in members.voters.items() if k != victim})
+        return replica_messages.Members({k: v for k, v in members.voters.items() if k != victim})
 
     assert not members(leader, without)
     cluster.run(1)
@@ -215,7 +217,7 @@
     cluster, leader = elected()
     newcomer = cluster.lose_disk(next(n for n in cluster.nodes if n != leader))
     error = cluster.change_members(
-        leader, lambda m: replica.Members({**m.voters, newcomer: "addr"})
+        leader, lambda m: replica_messages.Members({**m.voters, newcomer: "addr"})
     )
     assert isinstance(error, errors.UnavailableError)
 
@@ -248,7 +250,7 @@
 )
 def test_malformed_message_is_refused(document):
     with pytest.raises(errors.InvalidInputError):
-        replica.message_from_wire(document)
+        replica_messages.message_from_wire(document)
 
 
 class ForgetsVote(replica.Replica):
@@ -273,7 +275,9 @@
     """Mistake: votes for a candidate whose log is behind."""
 
     def _on_vote_request(self, request, now):
-        changed = replica.VoteRequest(request.term, request.candidate, 10**9, 10**9, request.pre)
+        changed = replica_messages.VoteRequest(
+            request.term, request.candidate, 10**9, 10**9, request.pre
+        )
         super()._on_vote_request(changed, now)
 
 
