Prove restarts in a cut-off zone and withdrawals under waiting requests over processes

Cause: two promises of the shared state were tested on the pure logic only: a restarted instance of a cut-off zone gets the newest version known there, and a key withdrawn while its request waits for a slot stops that request.

Change: a test of each over separate processes, the cut made by the tests' proxy.

Ruled out: a check of every log line of the restarted instance; the first version that it has in force is what counts.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -179,6 +179,66 @@
         processes.eventually(lambda: test_processes.send(address, "GET", "/names", key)[0] == 401)
 
 
+def test_instance_restarted_in_a_cut_off_zone_gets_the_newest_version_of_its_zone(fleet):
+    start_controls(fleet)
+    straight = dict(fleet.address_by_name)
+    with contextlib.ExitStack() as stack:
+        links = [proxy.Proxy(straight[name]) for name in CONTROLS]
+        for name, link in zip(CONTROLS, links, strict=True):
+            stack.callback(link.close)
+            fleet.address_by_name[name] = link.address
+        for name in ("b-1", "b-2"):
+            fleet.start_entry(name, "b")
+        fleet.address_by_name.update(straight)
+        key = test_processes.configure(fleet, {"b": ["b-1", "b-2"]})
+        stack.enter_context(test_processes.endpoints(fleet, {"e1": "b-1"}))
+        until_served(fleet, ["b-1", "b-2"], key)
+        version = fleet.json("drain", "start", "zone", "z")["to_version"]
+        in_force = f"in force version={version} "
+        processes.eventually(lambda: all(in_force in fleet.log(n) for n in ("b-1", "b-2")))
+        for link in links:
+            link.set(cut=True)
+        fleet.kill("b-2")
+        fleet.restart("b-2")
+        # Behind the cut only the other instance of the zone can tell it.
+        of_neighbour = f"{in_force}source={fleet.address_by_name['b-1']}"
+        processes.eventually(lambda: fleet.log("b-2").count("E1001") == 2)
+        processes.eventually(lambda: of_neighbour in fleet.log("b-2").split("E1001")[-1])
+        # The first version that it has in force is that one: versions never go back.
+        assert fleet.log("b-2").split("E1001")[-1].split("E3001")[1].count(of_neighbour) == 1
+
+
+def test_key_withdrawn_while_a_request_waits_is_refused_before_it_runs(fleet):
+    start_controls(fleet, ["control-1"])
+    fleet.start_entry("a-1", "a")
+    key = test_processes.configure(fleet, {"a": ["a-1"]})
+    with test_processes.endpoints(fleet, {"e1": "a-1"}) as (endpoint,):
+        address = fleet.address_by_name["a-1"]
+        until_served(fleet, ["a-1"], key)
+        # Every slot is busy for longer than a withdrawal takes, so that the last one waits.
+        results = {}
+
+        def send(target):
+            results[target] = test_processes.send(address, "GET", target, key)
+
+        slots = endpoint.profile.slots
+        targets = [f"/names/{n}?work_s=3" for n in range(slots)]
+        threads = [threading.Thread(target=send, args=(target,)) for target in targets]
+        for thread in threads:
+            thread.start()
+        processes.eventually(lambda: endpoint.busy == slots)
+        threads.append(threading.Thread(target=send, args=("/names/late",)))
+        threads[-1].start()
+        time.sleep(0.3)
+        fleet.run("key", "withdraw", "growers", key.split(".")[1])
+        for thread in threads:
+            thread.join(30)
+        assert [results[target][0] for target in targets] == [200] * slots
+        status, _, body = results["/names/late"]
+        assert (status, json.loads(body)["outcome"]) == (401, "not-run")
+        assert not [run for run in endpoint.runs if run.target == "/names/late"]
+
+
 def test_tenth_of_messages_lost_and_another_delayed():
     outcome = asyncio.run(losing.run(losing.Setup(rounds=2)))
     # Bounds as stated: a withdrawn key stops within 5 s, a leaving endpoint's new work within 3 s.
