Check rate and burst over separate processes while holders are killed and frozen

Cause: the limit was fuzzed and run in one process, but not over processes that are killed, frozen for longer than every lease, and come back.

Change: twelve callers over two zones of three; no span of time may see more runs than the burst, the rate and what was on its way.

Ruled out: a bound over the whole run, which the lost tokens of four restarts leave too loose.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import shutil
 import signal
@@ -355,6 +356,57 @@
         until_served(fleet, ["a-1", "b-1"], key)
 
 
+def test_rate_and_burst_are_kept_while_holders_are_killed_and_frozen(fleet):
+    seats = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1", "b-2", "b-3"]}
+    start_controls(fleet, ["control-1"])
+    for zone, names in seats.items():
+        for name in names:
+            fleet.start_entry(name, zone)
+    limited = test_processes.CONTRACT.replace("rate = 300", "rate = 40").replace(
+        "burst = 300", "burst = 60"
+    )
+    key = test_processes.configure(fleet, seats, limited)
+    places = {"e1": "a-1", "e2": "b-1"}
+    with test_processes.endpoints(fleet, places) as made:
+        for endpoint, place in zip(made, places.values(), strict=True):
+            zone = seats[place[0]]
+            endpoint._entries += [fleet.address_by_name[n] for n in zone if n != place]
+        stop, statuses, samples = threading.Event(), set(), []
+
+        def watch():
+            while not stop.wait(0.05):
+                samples.append((time.monotonic(), sum(len(e.runs) for e in made)))
+
+        def load(name):
+            while not stop.is_set():
+                answer = test_processes.send(
+                    fleet.address_by_name[name], "GET", "/names", key, timeout=4
+                )
+                statuses.add(answer[0])
+
+        names = [name for zone in seats.values() for name in zone for _ in range(2)]
+        threads = [threading.Thread(target=load, args=(name,)) for name in names]
+        threads.append(threading.Thread(target=watch))
+        for thread in threads:
+            thread.start()
+        processes.eventually(lambda: sum(len(e.runs) for e in made) > 100)
+        # Each is away for longer than every lease, comes back, and must not act on what it had.
+        for victim, frozen in (("a-1", "b-2"), ("b-1", "a-2")):
+            fleet.kill(victim)
+            fleet.signal(frozen, signal.SIGSTOP)
+            time.sleep(2.5)
+            fleet.restart(victim)
+            fleet.signal(frozen, signal.SIGCONT)
+            time.sleep(1.5)
+        stop.set()
+        for thread in threads:
+            thread.join(30)
+        # In no span of time more than the burst and the rate, and what had been admitted before.
+        for (start, before), (end, after) in itertools.combinations(samples, 2):
+            assert after - before <= 60 + 40 * (end - start) + len(names), (end - start, after)
+        assert {200, 429} <= statuses
+
+
 def test_killed_home_of_request_ids_never_lets_a_request_run_twice(fleet):
     key = start_all(fleet)
     names = SEATS["a"]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -81,9 +81,9 @@
         loop.close()
 
 
-def configure(fleet, seats_by_zone):
+def configure(fleet, seats_by_zone, contract=CONTRACT):
     (fleet.folder / "deployment.toml").write_text(deployment(seats_by_zone))
-    (fleet.folder / "growers.toml").write_text(CONTRACT)
+    (fleet.folder / "growers.toml").write_text(contract)
     fleet.run("apply", "deployment.toml", "growers.toml")
     given = fleet.run("key", "give", "growers")
     return given.stdout.split("key ")[-1].strip()
