Let text arguments of the command line reach commands as they were typed

The log of the control instance shows a withdrawal of key/growers/inf: the command line reads arguments that look like values as values, and key id as a number beyond all bounds. One key id in about seventy could not be withdrawn by the command, as "no such subject".

Change: every parameter that is a text is taken as typed, by one decorator over the classes of commands.

--- a/flamingotiller/cli.py
+++ b/flamingotiller/cli.py
@@ -35,6 +35,7 @@
 T = typing.TypeVar("T")
 
 
+@operator_commands.texts_as_given
 class Commands:
     """Steers requests from callers to endpoints across availability zones and regions.
 
--- a/flamingotiller/operator_commands.py
+++ b/flamingotiller/operator_commands.py
@@ -6,17 +6,38 @@
 import collections.abc
 import dataclasses
 import datetime
+import inspect
 import json
 import os
 import pathlib
 import sys
 import typing
 
+import fire.decorators
+
 from flamingotiller import clock, configuration, contract, errors, porcelain, settings
 
 T = typing.TypeVar("T")
 
 
+def texts_as_given(commands: type) -> type:
+    """Makes the text arguments of a class of commands reach them as they were typed.
+
+    The command line reads what looks like a number as one: key id 7e607813 would be infinity.
+    """
+    for method in vars(commands).values():
+        if inspect.isfunction(method):
+            texts = [
+                name
+                for name, parameter in inspect.signature(method).parameters.items()
+                if parameter.annotation in ("str", "str | None")
+                and parameter.kind is not inspect.Parameter.VAR_POSITIONAL
+            ]
+            if texts:
+                fire.decorators.SetParseFn(str, *texts)(method)
+    return commands
+
+
 class Session:
     """What operators' commands share: where to ask, as whom, and how to print.
 
@@ -75,6 +96,7 @@
         self.show(rows, (f"{n} version={r['version']} by={r['who']}" for n, r in rows.items()))
 
 
+@texts_as_given
 class KeyCommands:
     """Gives, withdraws and lists organisations' keys."""
 
@@ -128,6 +150,7 @@
         self._session.list(prefix)
 
 
+@texts_as_given
 class DrainCommands:
     """Announces, watches, lists and cancels drains of endpoints, instances, zones and regions."""
 
@@ -197,6 +220,7 @@
         self._session.list("drain/")
 
 
+@texts_as_given
 class QuarantineCommands:
     """Lists and lifts the quarantine of requests that crashed endpoints."""
 
@@ -226,6 +250,7 @@
         self._session.operate(work)
 
 
+@texts_as_given
 class MemberCommands:
     """Changes the members of the replicated log."""
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,10 +1,11 @@
 """The command line offline: checks, help, exit codes; and the examples."""
 
+import asyncio
 import pathlib
 
 import pytest
 
-from flamingotiller import cli, contract, porcelain
+from flamingotiller import cli, contract, errors, operator_commands, porcelain
 
 ROOT = pathlib.Path(__file__).parent.parent
 COMMANDS = [
@@ -139,3 +140,21 @@
     code, _, err = run(capsys, "status", "--server=127.0.0.1:1")
     assert code == 6
     assert "127.0.0.1:1" in err
+
+
+@pytest.mark.parametrize("text", ["7e607813", "12345678", "00000000", "None", "True", "1_000"])
+def test_names_that_look_like_values_reach_the_command_as_typed(monkeypatch, capsys, text):
+    asked = []
+
+    class Operator:
+        async def withdraw_key(self, organisation, key_id, change_id=None):
+            asked.append((organisation, key_id, change_id))
+            raise errors.ConflictError("enough", step="test")
+
+    def operate(session, work):
+        return asyncio.run(work(Operator()))
+
+    monkeypatch.setattr(operator_commands.Session, "operate", operate)
+    code, _, _ = run(capsys, "key", "withdraw", text, text, f"--change_id={text}")
+    assert code == errors.ConflictError.exit_code
+    assert asked == [(text, text, text)]
