Hold the slots of the waiting request's test until the key is withdrawn

Cause: read from the logs of the red run. The slots were held by requests of 3 s, the first of which began two seconds before the last, because a new endpoint's slots are opened step by step; the first slot was free 0.2 s before the withdrawal had been accepted (33.5 and 33.74 s), so the late request rightly ran under a key in force. The test was wrong, not the system.

Change: the emulated endpoint holds requests until it is told to go on, and the test lets them go only when the version with the withdrawal is in force. It depends on no time any more and asserts the same; that the late request is in flight before the withdrawal is checked too.

Ruled out: the check at dispatch itself.

--- a/flamingotiller/endpoint_emulator.py
+++ b/flamingotiller/endpoint_emulator.py
@@ -67,6 +67,7 @@
         runs: Requests run, in order.
         shed_count: Requests shed.
         peak: Largest number of requests at once.
+        resumed: Once set, ends requests that ask to be held (``hold`` in the query).
     """
 
     def __init__(self, profile: Profile, entries: typing.Sequence[str], token: str) -> None:
@@ -78,6 +79,7 @@
         self.busy = 0
         self.peak = 0
         self.leaving = False
+        self.resumed = asyncio.Event()
         self._entries = list(entries)
         self._session = secrets.token_hex(8)
         self._pool = client.ConnectionPool()
@@ -176,6 +178,8 @@
         self.runs_by_id[run.request_id] += 1
 
     async def _work(self, request: server.Request) -> None:
+        if "hold" in request.query:
+            await self.resumed.wait()
         wanted = request.query.get("work_s")
         await asyncio.sleep(float(wanted) if wanted else self.profile.service_time_s)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import re
 import shutil
 import signal
 import threading
@@ -212,34 +213,44 @@
 def test_key_withdrawn_while_a_request_waits_is_refused_before_it_runs(fleet):
     start_controls(fleet, ["control-1"])
     fleet.start_entry("a-1", "a")
-    key = test_processes.configure(fleet, {"a": ["a-1"]})
+    patient = test_processes.CONTRACT.replace(
+        "idempotent = true", 'idempotent = true\ndeadline = "60s"'
+    )
+    key = test_processes.configure(fleet, {"a": ["a-1"]}, patient)
     with test_processes.endpoints(fleet, {"e1": "a-1"}) as (endpoint,):
         address = fleet.address_by_name["a-1"]
         until_served(fleet, ["a-1"], key)
-        # Every slot is busy for longer than a withdrawal takes, so that the last one waits.
         results = {}
 
         def send(target):
-            results[target] = test_processes.send(address, "GET", target, key)
+            results[target] = test_processes.send(address, "GET", target, key, timeout=60)
 
         slots = endpoint.profile.slots
-        targets = [f"/names/{n}?work_s=3" for n in range(slots)]
+        targets = [*(f"/names/{n}?hold=1" for n in range(slots)), "/names/late"]
         threads = [threading.Thread(target=send, args=(target,)) for target in targets]
-        for thread in threads:
+        for thread in threads[:-1]:
             thread.start()
         processes.eventually(lambda: endpoint.busy == slots)
-        threads.append(threading.Thread(target=send, args=("/names/late",)))
+        # Every slot is taken until the endpoint is told to go on, so this one waits.
         threads[-1].start()
-        time.sleep(0.3)
-        fleet.run("key", "withdraw", "growers", key.split(".")[1])
+        processes.eventually(lambda: in_flight(address) == slots + 2)
+        version = fleet.json("key", "withdraw", "growers", key.split(".")[1])["to_version"]
+        processes.eventually(lambda: f"in force version={version} " in fleet.log("a-1"))
+        endpoint._task.get_loop().call_soon_threadsafe(endpoint.resumed.set)
         for thread in threads:
-            thread.join(30)
-        assert [results[target][0] for target in targets] == [200] * slots
+            thread.join(60)
+        assert [results[target][0] for target in targets[:-1]] == [200] * slots
         status, _, body = results["/names/late"]
         assert (status, json.loads(body)["outcome"]) == (401, "not-run")
         assert not [run for run in endpoint.runs if run.target == "/names/late"]
 
 
+def in_flight(address):
+    """Requests that an entry instance is serving, this question among them."""
+    _, _, body = test_processes.send(address, "GET", "/metrics")
+    return int(float(re.search(rb"^flamingotiller_in_flight_requests\S* (\S+)", body, re.M)[1]))
+
+
 def test_tenth_of_messages_lost_and_another_delayed():
     outcome = asyncio.run(losing.run(losing.Setup(rounds=2)))
     # Bounds as stated: a withdrawn key stops within 5 s, a leaving endpoint's new work within 3 s.
