Merge three ways of passing over what does not answer; mend what a newcomer trips over

Cause: read as a newcomer. Shards, slots and admission each kept their own times for whom not to ask again, under three names and constants. Slots took the width of its numbers from the limiter. A token's message was built twice. A malformed answer of the leader's feed ended the task of the hedge, which expects errors of the tree only. A release carried a field that nobody reads; a granted slot's comment named a case that does not occur; a check stood among the fields of a route. Tests and tools reached into the emulated endpoint, and set up endpoints of a whole zone, waited for a served request and waited for other tasks, each in several copies.

Change: module `breaker`; numbers of holders begin in `lease`; errors of the feed's answer are of the tree; `announce_to`, one `until_served`, one `eventual.holds`. Two methods of `slots` say whom they ask.

No check, bound or assertion is changed.

--- a/flamingotiller/admission.py
+++ b/flamingotiller/admission.py
@@ -10,6 +10,7 @@
 import typing
 
 from flamingotiller import (
+    breaker,
     client,
     clock,
     contract,
@@ -31,8 +32,6 @@
 AHEAD_PAUSE = clock.seconds(0.1)
 AHEAD_BURST_FRACTION = 0.25
 ROUND_PAUSE = clock.seconds(0.05)
-# A zone that did not answer is not asked again for this long.
-UNREACHABLE_PAUSE = clock.seconds(2)
 SETTLE_INTERVAL = clock.seconds(0.25)
 
 
@@ -73,7 +72,7 @@
     def __init__(self, process: entry.EntryInstance, kind: str) -> None:
         self._process = process
         self._purses = limiter.PurseSet(kernel.limiters.get(kind), process.rng)
-        self._paused_until_by_zone: dict[str, datetime.timedelta] = {}
+        self._breaker = breaker.Breaker(process.clock)
         self._demand_by_organisation: dict[str, _Demand] = {}
 
     def on_version(self) -> None:
@@ -148,23 +147,21 @@
             if self._process.shards.holds(shard):
                 return await self.take_here(organisation)
             if self._process.shards.is_silent(shard):
-                return await self._take_elsewhere(organisation)
+                return await self._take_elsewhere(body)
             document = await self._process.shards.ask_holder(
                 shard, "/v1/tokens/take", body, HOLDER_TIMEOUT
             )
             return bool(document["taken"])
         except (errors.UnavailableError, errors.TransportError, KeyError, TypeError):
-            return await self._take_elsewhere(organisation)
+            return await self._take_elsewhere(body)
 
-    async def _take_elsewhere(self, organisation: str) -> bool:
+    async def _take_elsewhere(self, body: dict[str, typing.Any]) -> bool:
         """Takes a token at the holder of another zone while this zone has none."""
         for zone in lookup.neighbours(self._process.feed.view, self._process.config.zone):
             for address in self._process.table.addresses_in(zone)[:2]:
                 try:
                     answer = await self._process.client.call(
-                        address, "POST", "/v1/tokens/take",
-                        {"organisation": organisation, "confirmed": self._is_fresh()},
-                        timeout=HOLDER_TIMEOUT,
+                        address, "POST", "/v1/tokens/take", body, timeout=HOLDER_TIMEOUT
                     )  # fmt: skip
                     document = client.raise_for_status(answer, step="take token", peer=address)
                     return bool(document["taken"])
@@ -222,13 +219,12 @@
         terms, deployment = self._terms(organisation)
         sharing = limiter.share_zones(organisation, terms.burst, deployment.zones_by_name)
         own = self._process.config.zone
-        now = self._process.clock.monotonic()
         return [
             zone
             for zone in sharing
             if zone != own
             and self._process.table.addresses_in(zone)
-            and now >= self._paused_until_by_zone.get(zone, clock.ZERO)
+            and not self._breaker.is_open(zone)
         ]
 
     def _start(self, organisation: str, demand: _Demand) -> None:
@@ -301,7 +297,7 @@
                 return address, limiter.Loan(int(document["number"]), float(document["tokens"]))
             except (errors.FlamingotillerError, KeyError, TypeError, ValueError):
                 continue
-        self._paused_until_by_zone[zone] = self._process.clock.monotonic() + UNREACHABLE_PAUSE
+        self._breaker.trip(zone)
         return "", limiter.Loan(0, 0.0)
 
     async def run(self) -> None:
--- a/flamingotiller/contract.py
+++ b/flamingotiller/contract.py
@@ -62,6 +62,7 @@
         default=["GET", "HEAD"], min_length=1
     )
     deadline: Duration = clock.seconds(5)
+    max_request_bytes: int = pydantic.Field(default=1_048_576, ge=0, le=8 * 1024 * 1024)
 
     @pydantic.field_validator("path")
     @classmethod
@@ -70,8 +71,6 @@
             raise ValueError(f"paths that start with {', '.join(RESERVED_PATHS)} are the system's")
         return path
 
-    max_request_bytes: int = pydantic.Field(default=1_048_576, ge=0, le=8 * 1024 * 1024)
-
 
 class ContractFile(_Model):
     """A contract as an operator writes it."""
--- a/flamingotiller/control.py
+++ b/flamingotiller/control.py
@@ -394,7 +394,7 @@
                 continue
             try:
                 await self._ask_leader(leader, feed.HOLD_TIMEOUT + PEER_TIMEOUT)
-            except (errors.FlamingotillerError, KeyError, TypeError):
+            except errors.FlamingotillerError:
                 await asyncio.sleep(0.2)
 
     async def _ask_leader(
@@ -413,9 +413,12 @@
 
     def _take_confirmation(self, document: dict[str, typing.Any], sent) -> None:
         # A control instance takes the configuration from its log only, the age from the leader.
-        if document["age_s"] is not None:
-            held, age = clock.seconds(document["held_s"]), clock.seconds(document["age_s"])
-            self.feed.confirm(int(document["version"]), sent + held - age)
+        try:
+            if document["age_s"] is not None:
+                held, age = clock.seconds(document["held_s"]), clock.seconds(document["age_s"])
+                self.feed.confirm(int(document["version"]), sent + held - age)
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.ProtocolError(f"bad answer of a feed: {error}", step="feed") from error
 
     # What the routes use
 
--- a/flamingotiller/endpoint_emulator.py
+++ b/flamingotiller/endpoint_emulator.py
@@ -67,6 +67,7 @@
         runs: Requests run, in order.
         shed_count: Requests shed.
         peak: Largest number of requests at once.
+        client: What it announces itself with.
         resumed: Once set, ends requests that ask to be held (``hold`` in the query).
     """
 
@@ -83,10 +84,14 @@
         self._entries = list(entries)
         self._session = secrets.token_hex(8)
         self._pool = client.ConnectionPool()
-        self._client = client.Client(self._pool, token)
+        self.client = client.Client(self._pool, token)
         self._server = server.Server(self._handle)
         self._task: asyncio.Task[None] | None = None
 
+    def announce_to(self, entries: typing.Sequence[str]) -> None:
+        """Adds entry instances to those that it announces to."""
+        self._entries += [entry for entry in entries if entry not in self._entries]
+
     async def start(self, listen: str = "127.0.0.1:0") -> None:
         """Listens and begins to announce."""
         host, _, port = listen.rpartition(":")
@@ -114,7 +119,7 @@
         }
         for entry in list(self._entries):
             try:
-                answer = await self._client.call(
+                answer = await self.client.call(
                     entry, "POST", "/v1/announce", body, timeout=ANNOUNCE_TIMEOUT
                 )
                 client.raise_for_status(answer, step="announce", peer=entry)
--- a/flamingotiller/lease.py
+++ b/flamingotiller/lease.py
@@ -11,9 +11,11 @@
 import datetime
 import functools
 import hashlib
+import random
 import typing
 
 SHARDS = 8
+NUMBER_BITS = 52
 # Allowance for clocks that run at slightly different speeds.
 DRIFT_FRACTION = 0.02
 
@@ -148,6 +150,18 @@
     return _digest(f"{kind}/{name}") % SHARDS
 
 
+def first_number(rng: random.Random) -> int:
+    """Returns where a holder begins to number what it gives out.
+
+    Numbers of different holders lie far apart, so that a late word on something that the holder
+    before gave out is not taken for a word on something else.
+
+    Args:
+        rng: Source of the number.
+    """
+    return rng.getrandbits(NUMBER_BITS)
+
+
 def preferred(shard: int, instances: typing.Sequence[str]) -> str:
     """Returns the instance that should hold a shard, by rendezvous hashing."""
     return max(instances, key=lambda name: _digest(f"{shard}/{name}"))
--- a/flamingotiller/limiter.py
+++ b/flamingotiller/limiter.py
@@ -26,8 +26,6 @@
 # A loan is void this long after it was asked for.
 LOAN_LIFETIME = clock.seconds(1)
 
-NUMBER_BITS = 52
-
 # A process acts on a version for at most this long after the next one was accepted, with the
 # lifetime of a loan and clocks of different speed allowed for.
 MAX_FRESHNESS_BOUND = 0.9 * (GROWTH_DELAY - LOAN_LIFETIME)
@@ -122,8 +120,7 @@
     Args:
         share: The zone's share.
         now: Monotonic time.
-        first_number: Number of the first loan. A late word on a loan of an earlier bucket must not
-            be taken for one of this bucket's, so buckets start far apart.
+        first_number: Number of the first loan; see ``lease.first_number``.
     """
 
     def __init__(self, share: Share, now: datetime.timedelta, first_number: int = 1) -> None:
@@ -348,7 +345,7 @@
             share: The share to begin with.
             now: Monotonic time.
         """
-        bucket = self._kind(share, now, self._rng.getrandbits(NUMBER_BITS))
+        bucket = self._kind(share, now, lease.first_number(self._rng))
         purse = self.purse_by_organisation[organisation] = Purse(bucket)
         return purse
 
--- a/flamingotiller/selection.py
+++ b/flamingotiller/selection.py
@@ -187,7 +187,7 @@
 
     Args:
         service: The service.
-        first_number: Number of the first permit.
+        first_number: Number of the first permit; see ``lease.first_number``.
     """
 
     def __init__(self, service: str, first_number: int = 1) -> None:
--- a/flamingotiller/shards.py
+++ b/flamingotiller/shards.py
@@ -7,15 +7,13 @@
 import datetime
 import typing
 
-from flamingotiller import client, clock, errors, events, lease
+from flamingotiller import breaker, client, clock, errors, events, lease
 
 if typing.TYPE_CHECKING:
     from flamingotiller import entry
 
 TIMEOUT = clock.seconds(0.5)
 MAX_VOTERS = 5
-# An instance that did not answer is passed over for this long.
-SILENCE_PAUSE = clock.seconds(2)
 
 
 class Shards:
@@ -34,8 +32,7 @@
         self._warned = False
         self._voters_at_version: tuple[int, tuple[str, ...]] = (-1, ())
         self._released = asyncio.Event()
-        self._answered_at: dict[str, datetime.timedelta] = {}
-        self._silent_until: dict[str, datetime.timedelta] = {}
+        self._breaker = breaker.Breaker(process.clock)
 
     @property
     def held(self) -> set[int]:
@@ -240,10 +237,9 @@
         try:
             answer = await self._process.client.call(address, "POST", path, body, timeout=timeout)
         except errors.ExchangeTimeoutError:
-            self._note_late_at(address, began)
+            self._breaker.trip(address, began)
             raise
-        self._answered_at[address] = self._process.clock.monotonic()
-        self._silent_until.pop(address, None)
+        self._breaker.close(address)
         return client.raise_for_status(answer, step=path, peer=address)
 
     def note_late(self, shard: int, asked: datetime.timedelta) -> None:
@@ -255,16 +251,8 @@
         """
         address = self.holder_address(shard)
         if address:
-            self._note_late_at(address, asked)
-
-    def _note_late_at(self, address: str, asked: datetime.timedelta) -> None:
-        # One that answers others meanwhile is busy, not silent.
-        if self._answered_at.get(address, clock.ZERO) < asked:
-            self._silent_until[address] = self._process.clock.monotonic() + SILENCE_PAUSE
+            self._breaker.trip(address, asked)
 
     def is_silent(self, shard: int) -> bool:
         """Returns whether the holder of a shard has lately answered nobody here."""
-        if not self._silent_until:
-            return False
-        until = self._silent_until.get(self.holder_address(shard) or "")
-        return until is not None and self._process.clock.monotonic() < until
+        return self._breaker.is_open(self.holder_address(shard) or "")
--- a/flamingotiller/slot_messages.py
+++ b/flamingotiller/slot_messages.py
@@ -61,7 +61,7 @@
         service: The service.
         endpoint: Name of the endpoint.
         address: Its address.
-        queue: Address of the instance whose queue granted it, empty for this one.
+        queue: Address of the instance whose queue granted it.
         keep: Idle connections to the endpoint that an instance may keep.
     """
 
@@ -84,7 +84,6 @@
             (connection broke without a whole answer) or ``unused``.
         fingerprint: Of the request.
         byte_count: Bytes that crossed, both ways.
-        hops: How often it has been passed on.
     """
 
     number: int
@@ -92,7 +91,6 @@
     result: str
     fingerprint: str = ""
     byte_count: int = 0
-    hops: int = 0
 
 
 _REFUSALS = {
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -11,13 +11,13 @@
 import typing
 
 from flamingotiller import (
+    breaker,
     client,
     clock,
     errors,
     events,
     handover,
     lease,
-    limiter,
     lookup,
     region_links,
     selection,
@@ -36,8 +36,6 @@
 SPILL_TIMEOUT = clock.seconds(0.5)
 RELEASE_TIMEOUT = clock.seconds(1)
 SPILL_PAUSE = clock.seconds(0.05)
-# An instance that did not answer is not asked again for this long.
-UNREACHABLE_PAUSE = clock.seconds(2)
 SPILL_WHEN_WAITING_PER_SLOT = 1 / 3
 
 
@@ -56,7 +54,7 @@
         self._future_by_waiter: dict[selection.Waiter, asyncio.Future[None]] = {}
         self._links = region_links.RegionLinks(process)
         self._spilled_from: dict[int, str] = {}
-        self._unreachable_until_by_address: dict[str, datetime.timedelta] = {}
+        self._breaker = breaker.Breaker(process.clock)
         self._spill_closed_until: dict[str, datetime.timedelta] = {}
 
     # The instance that runs a request
@@ -77,14 +75,16 @@
             try:
                 if self._process.shards.holds(shard):
                     return await self.ask_here(current)
-                return await self._ask_holder(shard, current)
+                return await self._ask_holder_and_others(shard, current)
             except (errors.UnavailableError, errors.TransportError, KeyError, TypeError):
                 granted = await self._ask_other_zones(current)
                 if granted:
                     return granted
                 await asyncio.sleep(min(0.1, left.total_seconds()))
 
-    async def _ask_holder(self, shard: int, ask: slot_messages.Ask) -> slot_messages.Granted:
+    async def _ask_holder_and_others(
+        self, shard: int, ask: slot_messages.Ask
+    ) -> slot_messages.Granted:
         """Asks the holder, and other zones too while it does not answer.
 
         Raises:
@@ -95,7 +95,7 @@
         shards = self._process.shards
         began = self._process.clock.monotonic()
         patience = clock.ZERO if shards.is_silent(shard) else HOLDER_PATIENCE
-        question = asyncio.ensure_future(self._question(shard, ask))
+        question = asyncio.ensure_future(self._ask_holder(shard, ask))
         try:
             while True:
                 await asyncio.wait({question}, timeout=patience.total_seconds())
@@ -111,7 +111,7 @@
         finally:
             question.cancel()
 
-    async def _question(self, shard: int, ask: slot_messages.Ask) -> slot_messages.Granted:
+    async def _ask_holder(self, shard: int, ask: slot_messages.Ask) -> slot_messages.Granted:
         timeout = clock.seconds(ask.deadline_s) + SPILL_TIMEOUT
         document = await self._process.shards.ask_holder(
             shard, "/v1/slots/ask", ask.to_wire(), timeout
@@ -153,8 +153,7 @@
         """Returns the queue of a service."""
         queue = self.queue_by_service.get(service)
         if queue is None:
-            # What is said of a permit of an earlier queue must not meet one of this queue.
-            first = self._process.rng.getrandbits(limiter.NUMBER_BITS)
+            first = lease.first_number(self._process.rng)
             queue = self.queue_by_service[service] = selection.SlotQueue(service, first)
             self._process.background(self.handover.follow(queue))
         return queue
@@ -383,7 +382,8 @@
         body = dataclasses.replace(ask, spill=True, zone=self._process.config.zone).to_wire()
         view = self._process.feed.view
         for zone in lookup.neighbours(view, self._process.config.zone):
-            for address in self._answering(zone)[:1]:
+            addresses = self._process.table.addresses_in(zone)
+            for address in [a for a in addresses if not self._breaker.is_open(a)][:1]:
                 try:
                     answer = await self._process.client.call(
                         address, "POST", "/v1/slots/ask", body, timeout=SPILL_TIMEOUT
@@ -392,28 +392,13 @@
                     if "granted" in document:
                         return slot_messages.Granted(**document["granted"])
                 except errors.TransportError:
-                    until = self._process.clock.monotonic() + UNREACHABLE_PAUSE
-                    self._unreachable_until_by_address[address] = until
+                    self._breaker.trip(address)
                 except (errors.FlamingotillerError, KeyError, TypeError):
                     continue
         # Those that wait do not all ask again at once.
         self._spill_closed_until[ask.service] = self._process.clock.monotonic() + SPILL_PAUSE
         return None
 
-    def _answering(self, zone: str) -> list[str]:
-        """Returns the addresses in a zone but for those that have just not answered."""
-        now = self._process.clock.monotonic()
-        self._unreachable_until_by_address = {
-            address: until
-            for address, until in self._unreachable_until_by_address.items()
-            if now < until
-        }
-        return [
-            address
-            for address in self._process.table.addresses_in(zone)
-            if address not in self._unreachable_until_by_address
-        ]
-
     def _spill_here(
         self, ask: slot_messages.Ask, queue: selection.SlotQueue, now: datetime.timedelta
     ) -> slot_messages.Granted:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -125,9 +125,7 @@
 def test_killed_and_frozen_holders_are_replaced(fleet):
     key = start_all(fleet)
     names = SEATS["a"]
-    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}) as made:
-        for endpoint in made:
-            endpoint._entries += [fleet.address_by_name[n] for n in names]
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}, SEATS):
         until_served(fleet, names, key)
         for victim, number in ((names[0], signal.SIGKILL), (names[1], signal.SIGSTOP)):
             fleet.signal(victim, number)
@@ -294,9 +292,7 @@
     for name in seats["a"]:
         fleet.start_entry(name, "a")
     key = test_processes.configure(fleet, seats)
-    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}) as made:
-        for endpoint in made:
-            endpoint._entries += [fleet.address_by_name[n] for n in seats["a"]]
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}, seats):
         until_served(fleet, seats["a"], key)
         results, stop = [], threading.Event()
         threads = [
@@ -377,11 +373,7 @@
         "burst = 300", "burst = 60"
     )
     key = test_processes.configure(fleet, seats, limited)
-    places = {"e1": "a-1", "e2": "b-1"}
-    with test_processes.endpoints(fleet, places) as made:
-        for endpoint, place in zip(made, places.values(), strict=True):
-            zone = seats[place[0]]
-            endpoint._entries += [fleet.address_by_name[n] for n in zone if n != place]
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "b-1"}, seats) as made:
         stop, statuses, samples = threading.Event(), set(), []
 
         def watch():
@@ -421,9 +413,7 @@
 def test_killed_home_of_request_ids_never_lets_a_request_run_twice(fleet):
     key = start_all(fleet)
     names = SEATS["a"]
-    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}) as made:
-        for endpoint in made:
-            endpoint._entries += [fleet.address_by_name[n] for n in names]
+    with test_processes.endpoints(fleet, {"e1": "a-1", "e2": "a-2"}, SEATS) as made:
         until_served(fleet, names, key)
         home = fleet.address_by_name["a-1"]
         _, _, body = test_processes.send(home, "GET", "/v1/lookup?organisation=growers")
--- a/tests/test_hedge.py
+++ b/tests/test_hedge.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import eventual
 import pytest
 
 from flamingotiller import clock, configuration, errors, feed, hedge
@@ -21,14 +22,6 @@
         await asyncio.sleep(0.002)
 
 
-async def eventually(check):
-    for _ in range(10_000):
-        if check():
-            return
-        await turns(1)
-    raise AssertionError("did not happen")
-
-
 def run(source, ask, scenario):
     held = feed.Feed("a", "z", configuration.Configuration(), source)
 
@@ -59,7 +52,7 @@
         await turns(20)
         assert not asked
         source.advance(clock.seconds(0.1))
-        await eventually(lambda: len(asked) >= 5)
+        await eventual.holds(lambda: len(asked) >= 5)
         held.confirm(0, source.monotonic())
         await turns(2)
         count = len(asked)
@@ -79,7 +72,7 @@
     async def scenario(held):
         held.confirm(0, source.monotonic())
         source.advance(2 * AFTER)
-        await eventually(lambda: len(asked) == hedge.MAX_UNANSWERED)
+        await eventual.holds(lambda: len(asked) == hedge.MAX_UNANSWERED)
         await turns(20)
         assert len(asked) == hedge.MAX_UNANSWERED
 
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -129,10 +129,7 @@
         self.fleet.address_by_name.update(straight)
         self.key = test_processes.configure(self.fleet, SEATS)
         places = {f"e{n}": ("a-1" if n % 2 else "b-1") for n in range(4)}
-        self.endpoints = stack.enter_context(test_processes.endpoints(self.fleet, places))
-        for endpoint, place in zip(self.endpoints, places.values(), strict=True):
-            zone = SEATS[place[0]]
-            endpoint._entries += [self.fleet.address_by_name[n] for n in zone if n != place]
+        self.endpoints = stack.enter_context(test_processes.endpoints(self.fleet, places, SEATS))
         self.until_served()
 
     def until_served(self):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -55,8 +55,11 @@
 
 
 @contextlib.contextmanager
-def endpoints(fleet, names_by_entry):
-    """Runs emulated endpoints in a thread of this process."""
+def endpoints(fleet, names_by_entry, seats=None):
+    """Runs emulated endpoints in a thread of this process.
+
+    Each announces itself to the entry instance named, and with ``seats`` to all of its zone.
+    """
     import threading
 
     loop = asyncio.new_event_loop()
@@ -70,6 +73,8 @@
                 [fleet.address_by_name[entry]],
                 processes.SERVICE_TOKEN,
             )
+            zone = next((names for names in (seats or {}).values() if entry in names), [])
+            endpoint.announce_to([fleet.address_by_name[name] for name in zone])
             asyncio.run_coroutine_threadsafe(endpoint.start(), loop).result(10)
             made.append(endpoint)
         yield made
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,9 +5,11 @@
 import random
 import types
 
+import eventual
 import pytest
 
 from flamingotiller import (
+    breaker,
     clock,
     errors,
     handover,
@@ -69,14 +71,6 @@
     return types.SimpleNamespace(status=200, json=lambda: document, body=b"")
 
 
-async def eventually(check):
-    for _ in range(10_000):
-        if check():
-            return
-        await asyncio.sleep(0.001)
-    raise AssertionError("did not happen")
-
-
 def granted(permit):
     return answer({"granted": dataclasses.asdict(permit)})
 
@@ -117,7 +111,7 @@
         process.client.calls.clear()
         slots.HOLDER_PATIENCE = clock.seconds(1000)
         assert await process.slots.ask(ASK) == ELSEWHERE
-        process.clock.advance(shards.SILENCE_PAUSE)
+        process.clock.advance(breaker.OPEN_TIME)
         assert not process.shards.is_silent(0)
 
     scenario(work)
@@ -126,12 +120,12 @@
 def test_holder_that_answers_while_others_are_asked_wins_and_the_other_slot_goes_back(scenario):
     async def work(process, answers):
         question = asyncio.ensure_future(process.slots.ask(ASK))
-        await eventually(lambda: len(process.client.calls) == 2)
+        await eventual.holds(lambda: len(process.client.calls) == 2)
         answers["holder"].set_result(granted(HERE))
         assert await question == HERE
         assert not process.shards.is_silent(0)
         answers["other"].set_result(granted(ELSEWHERE))
-        await eventually(lambda: process.tasks)
+        await eventual.holds(lambda: process.tasks)
         await asyncio.gather(*process.tasks)
         peer, target, body = process.client.calls[-1]
         assert (peer, target) == ("other", "/v1/slots/release")
@@ -233,17 +227,17 @@
 
         after.client.call = call
         after.slots.queue("s")
-        await eventually(lambda: after.slots.queue("s")._inherited_by_name)
+        await eventual.holds(lambda: after.slots.queue("s")._inherited_by_name)
         queue, granted = holding(after, 4)
         assert len(granted) == 1
         # Releases still go to the holder that granted, and the successor hears of them.
         before.slots.release_here(slot_messages.Release(numbers[0], "s", "done"))
         before.slots.release_here(slot_messages.Release(numbers[0], "s", "done"))
-        await eventually(lambda: queue._inherited_by_name == {"e": 2})
+        await eventual.holds(lambda: queue._inherited_by_name == {"e": 2})
         assert len(queue.grant(after.clock.monotonic())) == 1
         for number in numbers[1:]:
             before.slots.release_here(slot_messages.Release(number, "s", "done"))
-        await eventually(lambda: not queue._inherited_by_name)
+        await eventual.holds(lambda: not queue._inherited_by_name)
         for task in after.tasks + before.tasks:
             task.cancel()
         before.tasks.clear()
--- a/tools/live.py
+++ b/tools/live.py
@@ -17,7 +17,7 @@
 
 import h11
 
-from flamingotiller import caller, client, clock, endpoint_emulator, porcelain
+from flamingotiller import caller, client, clock, endpoint_emulator, errors, porcelain
 from tools import processes
 
 IDLE_S = 15.0
@@ -260,10 +260,11 @@
 
 
 async def until_served(sender: caller.Caller, address: str) -> None:
-    """Sends until an instance serves."""
-    for _ in range(200):
-        if (await sender.send("GET", "/names", instance=address)).status == 200:
-            return
+    """Sends until an instance, which may not have started yet, serves."""
+    for _ in range(300):
+        with contextlib.suppress(errors.TransportError):
+            if (await sender.send("GET", "/names", instance=address)).status == 200:
+                return
         await asyncio.sleep(0.1)
     raise TimeoutError("nothing was served")
 
--- a/tools/losing.py
+++ b/tools/losing.py
@@ -220,7 +220,7 @@
         for daemon in (*fleet.controls, *fleet.entries):
             losses.put_into(daemon.client)
         for endpoint in fleet.endpoints:
-            losses.put_into(endpoint._client)
+            losses.put_into(endpoint.client)
         async with asyncio.TaskGroup() as group:
             callers = [group.create_task(made.load(key, e.address)) for e in fleet.entries]
             for _ in range(setup.rounds):
--- a/tools/stopping.py
+++ b/tools/stopping.py
@@ -22,8 +22,6 @@
 STREAMED_CHUNKS = 60
 UPLOAD_BYTES = 1_000_000
 TIMEOUT = clock.seconds(30)
-STARTING_TRIES = 300
-STARTING_PAUSE_S = 0.1
 
 
 @dataclasses.dataclass
@@ -96,11 +94,7 @@
 
     async def until_served(self, address: str) -> None:
         sender = self.caller([address])
-        for _ in range(STARTING_TRIES):
-            with contextlib.suppress(errors.TransportError):
-                if (await sender.send("GET", "/names", instance=address)).status == 200:
-                    break
-            await asyncio.sleep(STARTING_PAUSE_S)
+        await live.until_served(sender, address)
         await sender.close()
 
     async def stop(self, made: processes.Processes, name: str) -> None:
