Run on the users' platform: gateways and stewards, and the adapter that translates

Cause: nothing of the product started on the platform; a process there learns three seeds only, zones have two entry instances, and endpoints announce themselves to control.

Change: two programs in fleet/ composed of the log, the HTTP parts and the dispatch rules; the adapter in platform/ holds names, formats and calls. Configuration, evacuations, lifetimes and drains of endpoints go through the log, founded by the three seeds and joined by the rest; gateways hold a poll at the leader, which proves freshness and carries tokens of rates. Objects run at their first endpoint of the own region, with one elsewhere when that is full; beyond it they are refused at once.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT = clock.seconds(1)
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 MAX_IDLE_PER_PEER = 32
+# A request must not cross the peer's close of an idle connection: one way and a late timer.
+IDLE_MARGIN = clock.seconds(0.5)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,9 +48,14 @@
 
 
 class ConnectionPool:
-    """Connections to peers, kept open while idle."""
+    """Connections to peers, kept open while idle.
 
-    def __init__(self) -> None:
+    Args:
+        connect_timeout: For a new connection.
+    """
+
+    def __init__(self, connect_timeout: datetime.timedelta = CONNECT_TIMEOUT) -> None:
+        self._connect_timeout = connect_timeout
         self._idle_by_peer: dict[str, collections.deque[wire.Link]] = {}
         self._count_by_peer: collections.Counter[str] = collections.Counter()
         self.bytes_out = 0
@@ -65,10 +72,13 @@
             errors.ConnectError: No connection could be made in time.
         """
         idle = self._idle_by_peer.get(peer)
+        now = asyncio.get_running_loop().time()
         while idle:
             link = idle.pop()
-            if not link.lost:
+            # Bytes that came without a request belong to no answer that may still be expected.
+            if not link.lost and not link.bytes_read and now < link.idle_until:
                 return link, True
+            self.discard(peer, link)
         return await self._connect(peer), False
 
     async def _connect(self, peer: str) -> wire.Link:
@@ -76,7 +86,7 @@
         loop = asyncio.get_running_loop()
         self._count_by_peer[peer] += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT.total_seconds()):
+            async with asyncio.timeout(self._connect_timeout.total_seconds()):
                 _, link = await loop.create_connection(
                     lambda: wire.Link(h11.CLIENT), host, int(port)
                 )
@@ -93,14 +103,24 @@
         if not self._count_by_peer[peer]:
             del self._count_by_peer[peer]
 
-    def release(self, peer: str, link: wire.Link, keep: int = MAX_IDLE_PER_PEER) -> None:
+    def release(
+        self,
+        peer: str,
+        link: wire.Link,
+        keep: int = MAX_IDLE_PER_PEER,
+        idle_timeout: datetime.timedelta | None = None,
+    ) -> None:
         """Takes a link back: keeps it if its exchange ended cleanly, else closes it.
 
         Args:
             peer: The peer.
             link: A link that ``acquire`` gave.
             keep: Largest number of idle links to the peer.
+            idle_timeout: After which the peer closes an idle link, None if not known.
         """
+        if idle_timeout is not None:
+            usable = max(clock.ZERO, idle_timeout - IDLE_MARGIN).total_seconds()
+            link.idle_until = asyncio.get_running_loop().time() + usable
         self.bytes_out += link.bytes_written
         self.bytes_in += link.bytes_read
         link.bytes_written = link.bytes_read = 0
--- a/flamingotiller/daemon.py
+++ b/flamingotiller/daemon.py
@@ -20,11 +20,10 @@
     metrics,
     server,
     settings,
+    supervisor,
     wire,
 )
 
-TASK_RESTART_DELAY = clock.seconds(0.5)
-
 
 class Daemon:
     """Base of the daemons.
@@ -55,7 +54,7 @@
         self.address = ""
         self.stopping = False
         self._routes = routes
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervisor.Supervisor()
         self.server = server.Server(self.handle, bounds=self.bounds(), on_fault=self._on_fault)
 
     def bounds(self) -> server.Bounds:
@@ -71,7 +70,7 @@
             host, _, port = self.common.listen.rpartition(":")
             bound = await self.server.start(host.strip("[]"), int(port))
             self.address = self.common.advertise or f"{host}:{bound}"
-            stack.push_async_callback(self._end_tasks)
+            stack.push_async_callback(self._supervisor.close)
             stack.push_async_callback(self.server.close)
             await self.open()
             self.stack = stack.pop_all()
@@ -98,25 +97,9 @@
         await self.stack.aclose()
         events.emit(events.STOP_ENDED, in_flight=self.server.request_count)
 
-    async def _end_tasks(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def spawn(self, name: str, work: collections.abc.Callable[[], typing.Awaitable[None]]) -> None:
         """Runs ``work`` as a task that lives as long as the daemon."""
-        task = asyncio.get_running_loop().create_task(self._supervise(name, work), name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _supervise(self, name: str, work) -> None:
-        while True:
-            try:
-                await work()
-                return
-            except Exception as error:  # noqa: BLE001 - one task's fault must not end the daemon
-                events.emit(events.TASK_FAULT, task=name, error=repr(error))
-                await asyncio.sleep(TASK_RESTART_DELAY.total_seconds())
+        self._supervisor.spawn(name, work)
 
     def _on_fault(self, error: BaseException, peer: str) -> None:
         events.emit(events.HANDLER_FAULT, peer=peer, error=repr(error))
--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -10,7 +10,10 @@
 
 import h11
 
-from flamingotiller import claims, client, clock, contract, errors, server, wire
+from flamingotiller import claims, client, clock, errors, server, wire
+
+if typing.TYPE_CHECKING:
+    from flamingotiller import contract
 
 NOT_RUN_HEADER = b"flamingotiller-not-run"
 OUTCOME_HEADER = b"flamingotiller-outcome"
--- a/flamingotiller/errors.py
+++ b/flamingotiller/errors.py
@@ -168,7 +168,7 @@
     """
 
     def __init__(
-        self, message: str, *, status: int, code: str, retry_after_s: int | None = None,
+        self, message: str, *, status: int, code: str, retry_after_s: float | None = None,
         step="dispatch", peer="",
     ) -> None:  # fmt: skip
         super().__init__(message, step=step, peer=peer)
--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 import logging as std_logging
+import typing
 
 import orjson
 from absl import logging
@@ -79,6 +80,7 @@
     "error",
     "free space or replace the disk, then restart (docs/OPERATIONS.md)",
 )
+STORAGE_BACK = _define(2013, _INFO, "storage works again", "index")
 TAIL_DROPPED = _define(2005, _WARN, "a torn record at the end of the log was dropped", "bytes")
 SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index")
 SNAPSHOT_INSTALLED = _define(2007, _INFO, "snapshot of the leader installed", "index")
@@ -147,6 +149,85 @@
 DRAIN_IN_FORCE = _define(4006, _INFO, "drain in force", "kind name")
 
 
+SETTINGS_RELOADED = _define(1008, _INFO, "settings reloaded", "reason changed")
+LINES_DROPPED = _define(
+    1009, _WARN, "log lines were left out to bound their volume", "event_number count"
+)
+LEADER_REACHED = _define(3006, _INFO, "the leader of the log answers", "peer revision after_s")
+LEADER_UNREACHED = _define(
+    3007,
+    _WARN,
+    "the leader of the log does not answer",
+    "peer error age_s",
+    "check the control instances and the links to them",
+)
+STATE_IN_FORCE = _define(
+    3008, _INFO, "fleet state in force", "revision config_version full changed removed age_s"
+)
+ORDER_DECIDED = _define(
+    3009, _INFO, "operator's order decided", "order subject verdict version revision"
+)
+ORDER_UNDECIDED = _define(
+    3010,
+    _WARN,
+    "operator's order could not be decided here",
+    "order subject error",
+    "none; the operator sends it again",
+)
+ORDER_INVALID = _define(
+    3011, _INFO, "operator's order is invalid", "order subject faults", "correct the order"
+)
+PRESENCE_CHANGED = _define(3204, _INFO, "gateways present", "count joined left")
+REPORT_TAKEN = _define(
+    4007, _INFO, "endpoint's report changes the state", "endpoint service state cold_s verdict"
+)
+REPORT_INVALID = _define(
+    4008,
+    _WARN,
+    "endpoint's report is invalid; it names no endpoint",
+    "peer faults",
+    "look for what sends it",
+)
+ENDPOINT_SILENT = _define(
+    4009, _WARN, "endpoint has not reported for too long", "endpoint service verdict"
+)
+ENDPOINT_AVOIDED = _define(
+    4010,
+    _WARN,
+    "endpoint is avoided after failures",
+    "endpoint service reason failures until_s",
+)
+ENDPOINT_TRIED_AGAIN = _define(4011, _INFO, "endpoint serves again", "endpoint service")
+DRAW_FAILED = _define(4012, _INFO, "tokens of a rate could not be drawn", "organisation peer error")
+REQUEST_SERVED = _define(
+    5001,
+    _INFO,
+    "request served",
+    "request_id route service endpoint object organisation status ms tries revision age_s",
+)
+REQUEST_REFUSED = _define(
+    5002,
+    _INFO,
+    "request refused; it has not run",
+    "request_id route service organisation status code detail retry_after_s ms tries revision age_s",
+    "docs/OPERATIONS.md, from a request's id to its cause",
+)
+REQUEST_FAILED = _define(
+    5003,
+    _WARN,
+    "request failed; it may have run",
+    "request_id route service organisation status code detail ms tries revision age_s",
+    "docs/OPERATIONS.md, from a request's id to its cause",
+)
+TRY_FAILED = _define(
+    5004,
+    _INFO,
+    "a try at an endpoint failed",
+    "request_id endpoint kind error sent_ms left_ms load load_age_s",
+)
+CALLER_LEFT = _define(5005, _INFO, "caller left before its answer", "request_id endpoint ms")
+
+
 class JsonFormatter(std_logging.Formatter):
     """Formats a record as one JSON object a line."""
 
@@ -170,6 +251,22 @@
         logging.get_absl_handler().setFormatter(JsonFormatter())
 
 
+class Sink(typing.Protocol):
+    """Takes events in place of the logging handlers."""
+
+    def write(self, event: Event, fields: dict[str, object]) -> None:
+        """Writes a line, or leaves it out to bound the volume; never blocks."""
+
+
+_sink: Sink | None = None
+
+
+def send_to(sink: Sink | None) -> None:
+    """Sends further events to a sink, or with None to the logging handlers again."""
+    global _sink  # noqa: PLW0603 - one log a process
+    _sink = sink
+
+
 def silence() -> None:
     """Leaves out everything below fatal."""
     logging.set_verbosity(logging.FATAL)
@@ -184,6 +281,9 @@
     """
     if set(fields) != set(event.fields):
         raise ValueError(f"event {event.number} takes {event.fields}, got {sorted(fields)}")
+    if _sink is not None:
+        _sink.write(event, fields)
+        return
     shown = " ".join(f"{name}={fields[name]}" for name in event.fields)
     extra = {"event": event.number, "text": event.text, **{k: str(v) for k, v in fields.items()}}
     logger = logging.get_absl_logger()
@@ -191,11 +291,15 @@
     logger.log(level, "E%d %s %s", event.number, event.text, shown, extra={"event_fields": extra})
 
 
+def level_name(event: Event) -> str:
+    """Returns an event's severity in words."""
+    return {_INFO: "info", _WARN: "warning", _ERROR: "error"}[event.level]
+
+
 def catalogue() -> str:
     """Returns the catalogue as a Markdown table, the content of docs/EVENTS.md."""
-    names = {_INFO: "info", _WARN: "warning", _ERROR: "error"}
     rows = [
-        f"| {e.number} | {names[e.level]} | {e.text} | {', '.join(e.fields)} | {e.action} |"
+        f"| {e.number} | {level_name(e)} | {e.text} | {', '.join(e.fields)} | {e.action} |"
         for e in by_number.values()
     ]
     return "\n".join(["| number | level | meaning | fields | action |", "|--|--|--|--|--|", *rows])
--- /dev/null
+++ b/flamingotiller/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for fleets whose instances are not listed in any settings: gateways and stewards."""
--- /dev/null
+++ b/flamingotiller/fleet/follower.py
@@ -0,0 +1,150 @@
+"""Follows the leader of the log: finds it from a few seeds, polls it, and dates what it says.
+
+An answer proves that the state it leads to was the newest at the moment the poll was sent."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import datetime
+import typing
+
+from flamingotiller import client, clock, errors, events
+
+# The leader holds a poll at most this long when there is nothing to tell.
+HOLD = clock.seconds(0.3)
+# An answer takes the hold, a confirmation by a majority and the way between regions.
+ANSWER_TIMEOUT = HOLD + clock.seconds(0.7)
+# Pause after a round of peers that do not know the leader.
+RETRY_PAUSE = clock.seconds(0.1)
+# A peer that did not answer is asked again only after the others.
+AVOID_FOR = clock.seconds(1.5)
+
+Poll = collections.abc.Callable[[], dict[str, typing.Any]]
+Take = collections.abc.Callable[[dict[str, typing.Any], datetime.timedelta], None]
+
+
+class Follower:
+    """Polls the leader, whoever it is.
+
+    Args:
+        peers: Client for calls to control instances.
+        seeds: Addresses known from the settings.
+        clk: Source of time.
+        poll: Makes the body of the next poll.
+        take: Takes an answer and the time at which its poll was sent.
+
+    Attributes:
+        leader: Address of the leader as far as known.
+        known: Addresses of control instances, learned from answers.
+        answered_at: When the last poll that was answered had been sent, None before the first.
+    """
+
+    def __init__(
+        self,
+        peers: client.Client,
+        seeds: collections.abc.Sequence[str],
+        clk: clock.Clock,
+        poll: Poll,
+        take: Take,
+    ) -> None:
+        self._peers = peers
+        self._seeds = list(seeds)
+        self._clock = clk
+        self._poll = poll
+        self._take = take
+        self._avoid_until: dict[str, datetime.timedelta] = {}
+        self._turn = 0
+        self._reached = False
+        self._lost_at = clk.monotonic()
+        self.leader = ""
+        self.known: list[str] = []
+        self.answered_at: datetime.timedelta | None = None
+
+    def age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns the age of what was last proved newest; huge before the first answer."""
+        return now - self.answered_at if self.answered_at is not None else datetime.timedelta(1)
+
+    def reseed(self, seeds: collections.abc.Sequence[str]) -> None:
+        """Replaces the seeds, after the settings have changed."""
+        self._seeds = list(seeds)
+
+    async def run(self) -> None:
+        """Polls for ever."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Polls one peer and takes its answer, or finds out whom to ask next."""
+        peer = self._next_peer()
+        sent = self._clock.monotonic()
+        try:
+            answer = await self._ask(peer)
+        except errors.NotLeaderError as error:
+            await self._redirect(peer, error, sent)
+        except errors.FlamingotillerError as error:
+            await self._fail(peer, error, sent)
+        else:
+            self._note_answer(peer, answer, sent)
+            self._take(answer, sent)
+
+    def _next_peer(self) -> str:
+        now = self._clock.monotonic()
+        if self.leader and self._avoid_until.get(self.leader, clock.ZERO) <= now:
+            return self.leader
+        peers = list(dict.fromkeys([*self.known, *self._seeds]))
+        usable = [p for p in peers if self._avoid_until.get(p, clock.ZERO) <= now] or peers
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+    async def _ask(self, peer: str) -> dict[str, typing.Any]:
+        answer = await self._peers.call(
+            peer, "POST", "/v1/follow", self._poll(), timeout=ANSWER_TIMEOUT
+        )
+        return client.raise_for_status(answer, step="follow", peer=peer)
+
+    async def _redirect(
+        self, peer: str, error: errors.NotLeaderError, sent: datetime.timedelta
+    ) -> None:
+        now = self._clock.monotonic()
+        hint = error.leader
+        usable = hint and hint != peer and self._avoid_until.get(hint, clock.ZERO) <= now
+        self.leader = hint if usable else ""
+        self._note_silence(peer, error, sent)
+        if not usable:
+            await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+    async def _fail(
+        self, peer: str, error: errors.FlamingotillerError, sent: datetime.timedelta
+    ) -> None:
+        self._avoid_until[peer] = self._clock.monotonic() + AVOID_FOR
+        if peer == self.leader:
+            self.leader = ""
+        self._note_silence(peer, error, sent)
+        await asyncio.sleep(RETRY_PAUSE.total_seconds())
+
+    def _note_silence(
+        self, peer: str, error: errors.FlamingotillerError, sent: datetime.timedelta
+    ) -> None:
+        if not self._reached:
+            return
+        self._reached = False
+        self._lost_at = sent
+        age = round(self.age(self._clock.monotonic()).total_seconds(), 3)
+        events.emit(events.LEADER_UNREACHED, peer=peer, error=str(error), age_s=age)
+
+    def _note_answer(
+        self, peer: str, answer: dict[str, typing.Any], sent: datetime.timedelta
+    ) -> None:
+        self.leader = peer
+        self.answered_at = sent
+        self.known = list(answer.get("members", self.known))
+        if not self._reached:
+            self._reached = True
+            after = (self._clock.monotonic() - self._lost_at).total_seconds()
+            events.emit(
+                events.LEADER_REACHED,
+                peer=peer,
+                revision=answer.get("revision"),
+                after_s=round(after, 3),
+            )
--- /dev/null
+++ b/flamingotiller/fleet/placement.py
@@ -0,0 +1,259 @@
+"""Where a request may run, and whether there is room: placement by object and admission.
+
+Answers the patterns of a regional wave, of a hot service, of callers that move, and of a cold start:
+an object's requests go to its first endpoints in an order that all gateways compute alike, so that
+endpoints keep their objects warm; where these are full the request is refused at once. Spreading it
+further would make every run longer, and the longer runs would spread again (docs/MEASUREMENTS.md).
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import hashlib
+import math
+
+from flamingotiller import clock
+from flamingotiller.fleet import model
+
+# An object's endpoints in the own region and elsewhere; ways compared in docs/MEASUREMENTS.md.
+NEAR_HOMES = 1
+FAR_HOMES = 1
+# Part of an endpoint's slots up to which requests are admitted, by rank; the last holds beyond.
+FULL_BY_RANK = (1.2, 1.0, 0.8)
+# What others have running at an endpoint is forgotten at this pace after its last word.
+LOAD_MEMORY_S = 0.5
+MAX_CACHED_ORDERS = 4096
+# A failing endpoint is left for this long, doubled with each further failure.
+FIRST_AVOIDANCE = clock.seconds(0.5)
+LONGEST_AVOIDANCE = clock.seconds(8)
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """What an endpoint says of itself with an answer.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests in its queue.
+    """
+
+    running: int
+    waiting: int
+
+
+class Conduct:
+    """What a gateway has seen of one endpoint.
+
+    Attributes:
+        in_flight: Own requests there.
+        failures: Failures since the last success.
+        avoid_until: When it is tried again after failures.
+        cold_until: When it has warmed up.
+        load: What it said last, None before.
+        load_at: When it said so.
+    """
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.failures = 0
+        self.avoid_until = clock.ZERO
+        self.cold_until = clock.ZERO
+        self.load: Load | None = None
+        self.load_at = clock.ZERO
+        self._others = 0
+
+    def on_load(self, load: Load, now: datetime.timedelta) -> None:
+        """Takes the endpoint's word for its load, with the answer to an own request."""
+        self.load, self.load_at = load, now
+        self._others = max(0, load.running + load.waiting - self.in_flight)
+
+    def on_success(self) -> bool:
+        """Notes an answer; returns whether the endpoint had been failing."""
+        failing = self.failures > 0
+        self.failures = 0
+        return failing
+
+    def on_failure(self, now: datetime.timedelta) -> None:
+        """Notes a failure that tells of the endpoint rather than of the request."""
+        span = FIRST_AVOIDANCE * 2 ** min(self.failures, 8)
+        self.failures += 1
+        self.avoid_until = now + min(span, LONGEST_AVOIDANCE)
+
+    def occupied(self, now: datetime.timedelta) -> float:
+        """Returns the estimated number of requests there."""
+        age = (now - self.load_at).total_seconds()
+        return self.in_flight + self._others * math.exp(-age / LOAD_MEMORY_S)
+
+    def usable(self, now: datetime.timedelta) -> bool:
+        """Returns whether the endpoint may be tried."""
+        if now < self.avoid_until:
+            return False
+        # After failures one request at a time finds out whether it serves again.
+        return not self.failures or not self.in_flight
+
+
+def fraction(rank: int) -> float:
+    """Returns the part of an endpoint's slots up to which a rank is admitted."""
+    return FULL_BY_RANK[min(rank, len(FULL_BY_RANK) - 1)]
+
+
+class Placement:
+    """Orders of endpoints by object.
+
+    Args:
+        region: The gateway's own region.
+        region_by_zone: Every availability zone.
+    """
+
+    def __init__(self, region: str, region_by_zone: collections.abc.Mapping[str, str]) -> None:
+        self._region = region
+        self._region_by_zone = region_by_zone
+        self._order_by_key: collections.OrderedDict[
+            tuple[str, str, frozenset[str]], list[model.Endpoint]
+        ] = collections.OrderedDict()
+        self._candidates_by_key: dict[tuple[str, frozenset[str]], list[model.Endpoint]] = {}
+
+    def forget(self) -> None:
+        """Drops what was computed from an earlier view."""
+        self._order_by_key.clear()
+        self._candidates_by_key.clear()
+
+    def order(
+        self, view: model.View, service: str, object_: str, regions: frozenset[str]
+    ) -> list[model.Endpoint]:
+        """Returns the endpoints that may serve, an object's own first.
+
+        Callers of one object are of one region, so its first endpoints lie there; those of other
+        regions follow, larger ones more often first. All gateways of a region agree on it.
+
+        Args:
+            view: What is known of the fleet.
+            service: The service.
+            object_: What the requests have in common that should meet the same endpoint.
+            regions: Regions that may serve, empty for all.
+        """
+        key = (service, object_, regions)
+        order = self._order_by_key.get(key)
+        if order is None:
+            candidates = self._candidates(view, service, regions)
+            order = sorted(candidates, key=lambda e: _score(object_, e), reverse=True)
+            order.sort(key=lambda e: self._region_by_zone.get(e.zone) != self._region)
+            self._order_by_key[key] = order
+            if len(self._order_by_key) > MAX_CACHED_ORDERS:
+                self._order_by_key.popitem(last=False)
+        return order
+
+    def _candidates(
+        self, view: model.View, service: str, regions: frozenset[str]
+    ) -> list[model.Endpoint]:
+        key = (service, regions)
+        found = self._candidates_by_key.get(key)
+        if found is None:
+            found = self._candidates_by_key[key] = [
+                endpoint
+                for endpoint in view.endpoints_of(service)
+                if not endpoint.draining
+                and endpoint.zone not in view.evacuated
+                and (not regions or self._region_by_zone.get(endpoint.zone) in regions)
+            ]
+        return found
+
+    def homes(
+        self,
+        order: list[model.Endpoint],
+        conduct_by_id: collections.abc.Mapping[str, Conduct],
+        excluded: collections.abc.Collection[str],
+        now: datetime.timedelta,
+    ) -> list[model.Endpoint]:
+        """Returns the endpoints to try: the first that serve, of the own region and elsewhere."""
+        found: list[model.Endpoint] = []
+        near = far = 0
+        for endpoint in order:
+            conduct = conduct_by_id.get(endpoint.id)
+            if conduct is not None and not conduct.usable(now):
+                continue
+            if self._region_by_zone.get(endpoint.zone) == self._region:
+                near += 1
+                if near > NEAR_HOMES:
+                    continue
+            else:
+                far += 1
+            if endpoint.id not in excluded:
+                found.append(endpoint)
+            if far == FAR_HOMES:
+                break
+        return found
+
+
+def _score(object_: str, endpoint: model.Endpoint) -> float:
+    """Returns an endpoint's rank for an object; the larger one is the more often first."""
+    return _uniform(object_, endpoint.id) ** (1.0 / endpoint.slots)
+
+
+def _uniform(*parts: str) -> float:
+    """Returns a number between 0 and 1 that depends on the parts alone."""
+    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
+    return (int.from_bytes(digest, "big") + 1) / 2**64
+
+
+class Splitter:
+    """Shares a route's requests between its services in proportion to their weights."""
+
+    def __init__(self) -> None:
+        self._credit_by_service: dict[str, float] = {}
+        self._parts: tuple[model.Part, ...] = ()
+
+    def next(self, parts: tuple[model.Part, ...]) -> str:
+        """Returns the service of the next request."""
+        if len(parts) == 1:
+            return parts[0].service
+        if parts != self._parts:
+            self._parts = parts
+            self._credit_by_service = {part.service: 0.0 for part in parts}
+        total = sum(part.weight for part in parts)
+        for part in parts:
+            self._credit_by_service[part.service] += part.weight / total
+        chosen = max(self._credit_by_service, key=self._credit_by_service.__getitem__)
+        self._credit_by_service[chosen] -= 1.0
+        return chosen
+
+
+class ColdGate:
+    """Bounds the requests to cold endpoints over all gateways.
+
+    Each gateway has whole units of an endpoint's tolerance per second, by its place among those
+    present; endpoints differ in who gets the remainder.
+    """
+
+    # Part of the bound that is used: a gateway that comes or goes shifts the others' places.
+    USED = 0.85
+    WINDOW = clock.seconds(1)
+
+    def __init__(self, overage: float, slack: float) -> None:
+        self._overage = overage
+        self._slack = slack
+        self._sent_by_id: dict[str, collections.deque[datetime.timedelta]] = {}
+        self.position = 0
+        self.count = 0
+
+    def units(self, endpoint: str, rate: float) -> int:
+        """Returns the requests that this gateway may send a cold endpoint in a second."""
+        if not self.count:
+            return 0
+        bound = int((rate * self._overage + self._slack) * self.USED)
+        offset = int(_uniform("cold", endpoint) * self.count)
+        extra = (self.position + offset) % self.count < bound % self.count
+        return bound // self.count + extra
+
+    def take(self, endpoint: str, rate: float, now: datetime.timedelta) -> bool:
+        """Notes a request to a cold endpoint; returns whether it may be sent."""
+        sent = self._sent_by_id.setdefault(endpoint, collections.deque())
+        while sent and now - sent[0] > self.WINDOW:
+            sent.popleft()
+        if len(sent) >= self.units(endpoint, rate):
+            return False
+        sent.append(now)
+        return True
--- /dev/null
+++ b/flamingotiller/fleet/quota.py
@@ -0,0 +1,129 @@
+"""A gateway's stocks of organisations' tokens, drawn from the leader by demand."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from flamingotiller import clock
+from flamingotiller.fleet import model
+
+# Demand is averaged over about this time.
+DEMAND_MEMORY_S = 1.0
+# A stock lasts for about this time: two polls, the second of which may be late.
+STOCK_S = 0.7
+# Demand below which nothing is kept in stock, requests per second.
+LEAST_DEMAND = 0.2
+# After a refused draw none is tried again for this long; the leader's bucket fills meanwhile.
+DENIAL = clock.seconds(0.15)
+
+
+@dataclasses.dataclass
+class Stock:
+    """Tokens of one organisation at this gateway.
+
+    Attributes:
+        tokens: Requests that may pass.
+        arrivals: Requests since the demand was last measured.
+        demand: Requests per second of late.
+        denied_until: When a draw may be tried again.
+    """
+
+    tokens: int = 0
+    arrivals: int = 0
+    demand: float = 0.0
+    denied_until: datetime.timedelta = clock.ZERO
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """What a gateway says of one organisation with a poll.
+
+    Attributes:
+        stock: Tokens that it has.
+        wanted: Further ones that it asks for; negative for some that it gives back.
+    """
+
+    stock: int
+    wanted: int
+
+
+class Quota:
+    """Stocks by organisation.
+
+    Args:
+        now: Monotonic time.
+    """
+
+    def __init__(self, now: datetime.timedelta) -> None:
+        self._stock_by_organisation: dict[str, Stock] = {}
+        self._measured_at = now
+
+    def arrive(self, organisation: model.Organisation) -> bool:
+        """Notes a request; returns whether it passes at once."""
+        if not organisation.rate:
+            return True
+        stock = self._stock_by_organisation.setdefault(organisation.name, Stock())
+        stock.arrivals += 1
+        return self._take(stock)
+
+    @staticmethod
+    def _take(stock: Stock) -> bool:
+        if stock.tokens < 1:
+            return False
+        stock.tokens -= 1
+        return True
+
+    def may_draw(self, organisation: str, now: datetime.timedelta) -> bool:
+        """Returns whether it makes sense to ask the leader for tokens now."""
+        stock = self._stock_by_organisation.get(organisation)
+        return stock is not None and now >= stock.denied_until
+
+    def take_drawn(self, organisation: str) -> bool:
+        """Returns whether a request that has waited for a draw passes."""
+        return self._take(self._stock_by_organisation.setdefault(organisation, Stock()))
+
+    def give_back(self, organisation: str) -> None:
+        """Returns the token of a request that has not run."""
+        stock = self._stock_by_organisation.get(organisation)
+        if stock is not None:
+            stock.tokens += 1
+
+    def receive(self, organisation: str, given: int, now: datetime.timedelta) -> None:
+        """Takes tokens that the leader has given; none means that the bucket is empty."""
+        stock = self._stock_by_organisation.setdefault(organisation, Stock())
+        stock.tokens += given
+        if not given:
+            stock.denied_until = now + DENIAL
+
+    def claim(self, organisation: str) -> Claim:
+        """Returns what to ask for when the stock has run out between polls."""
+        stock = self._stock_by_organisation.setdefault(organisation, Stock())
+        return Claim(stock.tokens, max(1, self._target(stock) - stock.tokens))
+
+    def claims(self, now: datetime.timedelta) -> dict[str, Claim]:
+        """Measures demand and returns what to ask for with a poll, by organisation.
+
+        Tokens that are given back are no longer in stock, whether the poll arrives or not.
+        """
+        elapsed = max(1e-3, (now - self._measured_at).total_seconds())
+        keep = max(0.0, 1.0 - elapsed / DEMAND_MEMORY_S)
+        self._measured_at = now
+        claims = {}
+        for name, stock in self._stock_by_organisation.items():
+            stock.demand = keep * stock.demand + (1 - keep) * stock.arrivals / elapsed
+            stock.arrivals = 0
+            target = self._target(stock)
+            wanted = target - stock.tokens
+            if wanted < 0 and stock.tokens <= 2 * target + 1:
+                wanted = 0
+            if wanted < 0:
+                stock.tokens += wanted
+            claims[name] = Claim(stock.tokens, wanted)
+        return claims
+
+    @staticmethod
+    def _target(stock: Stock) -> int:
+        if stock.demand < LEAST_DEMAND:
+            return 0
+        return 1 + round(stock.demand * STOCK_S)
--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -125,6 +125,19 @@
         self.snapshot, self.entries = snapshot, []
         self._rewrite()
 
+    @property
+    @abc.abstractmethod
+    def dirty(self) -> bool:
+        """Whether anything written is not durable yet."""
+
+    def rewrite(self) -> None:
+        """Writes everything afresh, whatever a failed write has left behind.
+
+        Raises:
+            errors.SyncFailedError: Nothing since the last good sync may be relied on.
+        """
+        self._rewrite()
+
     @abc.abstractmethod
     def _write(self, record: dict[str, typing.Any]) -> None:
         """Buffers a record."""
@@ -156,6 +169,11 @@
     def _copy(self) -> tuple[int, str, Snapshot, list[Entry]]:
         return self.term, self.voted_for, self.snapshot, list(self.entries)
 
+    @property
+    def dirty(self) -> bool:
+        """Whether the content differs from what a crash would leave."""
+        return self._copy() != self._synced
+
     def _write(self, record: dict[str, typing.Any]) -> None:
         pass
 
@@ -255,6 +273,11 @@
             if entry.index > self.snapshot.index:
                 self.entries.append(entry)
 
+    @property
+    def dirty(self) -> bool:
+        """Whether records are buffered."""
+        return bool(self._buffer)
+
     def _write(self, record: dict[str, typing.Any]) -> None:
         self._buffer += _encode(orjson.dumps(record))
 
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 import functools
+import time
 import typing
 import urllib.parse
 
@@ -56,6 +57,7 @@
         query: First value of each query parameter by name.
         headers: Pairs of lower-case name and value.
         peer: Address of the caller.
+        waited_s: Seconds since the peer last sent something when the head was read.
     """
 
     def __init__(self, head: h11.Request, link: wire.Link, bounds: Bounds) -> None:
@@ -71,6 +73,8 @@
         self._bounds = bounds
         self._received = 0
         self.body_ended = False
+        # The rest of a pipelined request may have come long before its turn.
+        self.waited_s = max(0.0, time.monotonic() - link.data_at) if link.data_at else 0.0
 
     def header(self, name: str) -> str | None:
         """Returns the first value of a header, or None."""
@@ -273,7 +277,7 @@
 
     Args:
         handler: Called with each request.
-        bounds: Limits towards peers.
+        bounds: Limits towards peers; may be replaced while it runs.
         on_fault: Called with an exception that a handler let escape.
     """
 
@@ -285,12 +289,13 @@
         on_fault: collections.abc.Callable[[BaseException, str], None] | None = None,
     ) -> None:
         self._handler = handler
-        self._bounds = bounds or Bounds()
+        self.bounds = bounds or Bounds()
         self._on_fault = on_fault
         self._server: asyncio.Server | None = None
         self._task_by_link: dict[wire.Link, asyncio.Task[None]] = {}
         self._busy: set[wire.Link] = set()
         self._closing = False
+        self._saying_close = False
 
     @property
     def connection_count(self) -> int:
@@ -324,7 +329,7 @@
         return wire.Link(h11.SERVER, on_open=self._open, on_lost=self._lost)
 
     def _open(self, link: wire.Link) -> None:
-        if len(self._task_by_link) >= self._bounds.connections:
+        if len(self._task_by_link) >= self.bounds.connections:
             link.abort()
             return
         task = asyncio.get_running_loop().create_task(self._serve(link))
@@ -338,10 +343,10 @@
             task.cancel()
 
     async def _serve(self, link: wire.Link) -> None:
-        timeout = self._bounds.head_timeout
+        timeout = self.bounds.head_timeout
         try:
             while not self._closing and await self._serve_one(link, timeout):
-                timeout = self._bounds.idle_timeout
+                timeout = self.bounds.idle_timeout
         except (errors.FlamingotillerError, asyncio.CancelledError):
             link.abort()
         except Exception as error:  # noqa: BLE001 - a fault in one request ends only that one
@@ -365,7 +370,7 @@
             return False
         self._busy.add(link)
         reply = Reply(link, head.method.decode("ascii"))
-        reply.close_after = self._closing
+        reply.close_after = self._closing or self._saying_close
         await self._handle(head, link, reply)
         self._busy.discard(link)
         if not reply.finished:
@@ -375,7 +380,7 @@
 
     async def _handle(self, head: h11.Request, link: wire.Link, reply: Reply) -> None:
         try:
-            request = Request(head, link, self._bounds)
+            request = Request(head, link, self.bounds)
             check_framing(request)
             await self._handler(request, reply)
             if reply.finished and not request.body_ended and request.declared_length() == 0:
@@ -411,6 +416,10 @@
                 reply, errors.LimitExceededError(error.message, status=status, step="read head")
             )
 
+    def say_close(self) -> None:
+        """Makes every further answer carry ``Connection: close``, and goes on serving."""
+        self._saying_close = True
+
     def announce_close(self) -> None:
         """Makes every further answer carry ``Connection: close`` and ends idle connections."""
         self._closing = True
--- /dev/null
+++ b/flamingotiller/supervisor.py
@@ -0,0 +1,41 @@
+"""Background tasks of a process: each lives as long as the process and is restarted when it
+fails, so that one task's fault does not end the others."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+
+from flamingotiller import clock, events
+
+RESTART_DELAY = clock.seconds(0.5)
+
+
+class Supervisor:
+    """Owns a process's background tasks."""
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, name: str, work: collections.abc.Callable[[], typing.Awaitable[None]]) -> None:
+        """Runs ``work`` until it returns or the supervisor is closed."""
+        task = asyncio.get_running_loop().create_task(self._supervise(name, work), name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _supervise(self, name: str, work) -> None:
+        while True:
+            try:
+                await work()
+                return
+            except Exception as error:  # noqa: BLE001 - one task's fault must not end the process
+                events.emit(events.TASK_FAULT, task=name, error=repr(error))
+                await asyncio.sleep(RESTART_DELAY.total_seconds())
+
+    async def close(self) -> None:
+        """Ends all tasks."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -7,6 +7,8 @@
 import collections.abc
 import dataclasses
 import datetime
+import math
+import time
 import typing
 
 import h11
@@ -42,6 +44,12 @@
         role: ``h11.CLIENT`` or ``h11.SERVER``.
         on_open: Called with the link once the transport is up.
         on_lost: Called once when the peer closes or the connection breaks.
+
+    Attributes:
+        lost: Whether the connection has ended.
+        broken: Whether it ended other than by the peer's orderly close.
+        data_at: When the peer last sent something, seconds of ``time.monotonic``.
+        idle_until: When the peer may close it for being idle, seconds of the event loop's time.
     """
 
     def __init__(
@@ -54,6 +62,9 @@
         self.h11 = h11.Connection(our_role=role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.peer = ""
         self.lost = False
+        self.broken = False
+        self.data_at = 0.0
+        self.idle_until = math.inf
         self.bytes_written = 0
         self.bytes_read = 0
         self._on_open = on_open
@@ -82,6 +93,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffers what the peer sent; part of ``asyncio.Protocol``."""
+        self.data_at = time.monotonic()
         self.bytes_read += len(data)
         total_traffic.read += len(data)
         self.h11.receive_data(data)
@@ -100,6 +112,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wakes whoever waits on the link; part of ``asyncio.Protocol``."""
+        if exc is not None:
+            self.broken = True
         self._mark_lost()
         self._write_paused = False
         if self._write_waiter and not self._write_waiter.done():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -22,7 +22,7 @@
 
 
 def test_every_event_is_emitted_with_its_fields():
-    sources = "\n".join(path.read_text() for path in PACKAGE.glob("*.py"))
+    sources = "\n".join(path.read_text() for path in PACKAGE.rglob("*.py"))
     names = re.findall(r"^([A-Z_]+) = _define\(", (PACKAGE / "events.py").read_text(), re.M)
     unused = [name for name in names if f"events.{name}" not in sources]
     assert not unused
@@ -112,8 +112,8 @@
     for node in ast.walk(ast.parse(path.read_text())):
         if isinstance(node, ast.Import):
             found |= {alias.name.split(".")[0] for alias in node.names}
-        elif isinstance(node, ast.ImportFrom) and node.module == "flamingotiller":
-            found |= {f"flamingotiller.{alias.name}" for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and (node.module or "").startswith("flamingotiller"):
+            found |= {f"{node.module}.{alias.name}" for alias in node.names}
         elif isinstance(node, ast.ImportFrom):
             found.add((node.module or "").split(".")[0])
     return found
@@ -136,8 +136,66 @@
             assert f"`{path.stem}`" in text, path.name
 
 
+FLEET_PURE = {
+    "attendance", "bank", "model", "placement", "quota", "registry", "roster", "state", "table",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", sorted(FLEET_PURE))
+def test_decision_logic_of_fleets_is_free_of_sockets_and_clock(name):
+    path = PACKAGE / "fleet" / f"{name}.py"
+    found = imports_of(path)
+    assert not found & IMPURE_IMPORTS
+    assert not {f for f in found if f.removeprefix("flamingotiller.") in SHELL}
+    assert "random" not in found
+
+
+def test_architecture_page_has_every_module_of_fleets():
+    text = page("ARCHITECTURE.md")
+    for path in (PACKAGE / "fleet").glob("*.py"):
+        if not path.name.startswith("__"):
+            assert f"`{path.stem}`" in text, path.name
+
+
+# What only the adapter may know: the platform's names of headers, fields and calls.
+PLATFORM_NAMES = re.compile(
+    r"x-request-id|x-deadline-ms|x-expect-instance|x-tenant-id|x-api-key|x-server-load"
+    r"|x-not-executed|x-response-seal|x-if-version|x-affinity-key|heartbeatAddr|trafficSplit"
+    r"|pathPrefix|routeType|stickySessions|allowedRegions|ratePerS|apiKeys|coldRemaining|coldPerS"
+    r"|config\.replace|instances\.heartbeat|evacuations\.|seedNodes|internalPortRange|nodeName"
+    r"|\b(?:tenants?|backends?|back ends?)\b",
+    re.IGNORECASE,
+)
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    for path in PACKAGE.rglob("*.py"):
+        if path.parent.name != "platform":
+            assert not PLATFORM_NAMES.search(path.read_text()), path
+
+
+def test_adapter_is_small_and_decides_nothing():
+    paths = list((PACKAGE / "platform").glob("*.py"))
+    assert sum(len(path.read_text().splitlines()) for path in paths) < 1200
+    for path in paths:
+        source = path.read_text()
+        assert not imports_of(path) & {"asyncio", "time", "socket", "threading"}, path.name
+        assert not re.search(r"\.monotonic\(|\.utc\(|\.uniform\(|\.sleep\(", source), path.name
+
+
+def test_interfaces_page_has_every_refusal_of_a_gateway():
+    text = page("INTERFACES.md")
+    source = (PACKAGE / "fleet" / "gateway.py").read_text()
+    codes = set(re.findall(r'_refused\(\s*[^,"]+,\s*"([a-z-]+)"', source))
+    codes |= set(re.findall(r'"([a-z-]+)" (?:if|else)', source))
+    codes |= set(re.findall(r'_unknown\("([a-z-]+)"', source))
+    assert len(codes) >= 6
+    for code in codes:
+        assert f"`{code}`" in text, code
+
+
 def test_no_process_is_started_and_modules_are_imported():
-    for path in PACKAGE.glob("*.py"):
+    for path in PACKAGE.rglob("*.py"):
         tree = ast.parse(path.read_text())
         for node in ast.walk(tree):
             if isinstance(node, ast.ImportFrom) and node.module not in (None, "__future__"):
