--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -209,7 +209,8 @@
     5002,
     _INFO,
     "request refused; it has not run",
-    "request_id route service organisation status code detail retry_after_s ms tries revision age_s",
+    "request_id route service organisation status code detail retry_after_s ms tries revision"
+    " age_s",
     "docs/OPERATIONS.md, from a request's id to its cause",
 )
 REQUEST_FAILED = _define(
--- a/flamingotiller/fleet/bank.py
+++ b/flamingotiller/fleet/bank.py
@@ -76,18 +76,20 @@
         self._tolerance = tolerance
         step = tolerance.window / UNKNOWN_STEPS
         part = tolerance.allowed(rate, burst) / UNKNOWN_STEPS
-        self._given = collections.deque((now - i * step, part) for i in range(UNKNOWN_STEPS, 0, -1))
+        self._given = collections.deque(
+            (now - i * step, "", part) for i in range(UNKNOWN_STEPS, 0, -1)
+        )
         self._stock_by_gateway: dict[str, tuple[int, datetime.timedelta]] = {}
 
     def draw(self, draw: Draw, rate: float, burst: float, now: datetime.timedelta) -> int:
         """Returns the whole tokens that a gateway is given, none when it gives some back."""
         self._stock_by_gateway[draw.gateway] = (draw.stock, now)
         if draw.wanted < 0:
-            self._given.append((now, draw.wanted))
+            self._given.append((now, draw.gateway, draw.wanted))
             return 0
         given = max(0, min(draw.wanted, int(self._room(rate, burst, now))))
         if given:
-            self._given.append((now, given))
+            self._given.append((now, draw.gateway, given))
             self._stock_by_gateway[draw.gateway] = (draw.stock + given, now)
         return given
 
@@ -99,11 +101,13 @@
             for name, held in self._stock_by_gateway.items()
             if now - held[1] <= STOCK_LIFETIME
         }
-        stocks = sum(stock for stock, _ in self._stock_by_gateway.values())
-        # Old stocks could be used up together with everything that is given now.
-        excess = max(0.0, stocks - self._tolerance.stock(rate, burst))
-        spent = sum(amount for _, amount in self._given)
-        return self._tolerance.allowed(rate, burst) - spent - excess
+        given: dict[str, float] = collections.defaultdict(float)
+        for _, gateway, amount in self._given:
+            given[gateway] += amount
+        # Tokens that were given before the window could be used up together with all in it.
+        old = sum(max(0, s - given[name]) for name, (s, _) in self._stock_by_gateway.items())
+        excess = max(0.0, old - self._tolerance.stock(rate, burst))
+        return self._tolerance.allowed(rate, burst) - sum(given.values()) - excess
 
 
 class Bank:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -28,6 +28,7 @@
     model,
     placement,
     quota,
+    spill,
 )
 
 # Room between the proof of a key and its withdrawal's bound, for requests on their way.
@@ -67,6 +68,7 @@
         revocation_bound: Time after which a withdrawn key must not work.
         cold_overage: Factor on a cold endpoint's tolerance that may be used.
         cold_slack: Requests per second beyond that.
+        most_shift: Part of a region's requests that may change region between two windows.
     """
 
     name: str
@@ -79,6 +81,7 @@
     revocation_bound: datetime.timedelta
     cold_overage: float
     cold_slack: float
+    most_shift: float
 
 
 class Gateway:
@@ -114,6 +117,7 @@
         self._quota = quota.Quota(clk.monotonic())
         self._placement = placement.Placement(config.region, config.region_by_zone)
         self._cold_gate = placement.ColdGate(config.cold_overage, config.cold_slack)
+        self._governor = spill.Governor(config.most_shift)
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._conduct_by_id: dict[str, placement.Conduct] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
@@ -187,8 +191,7 @@
             self._take_items(answer, now)
         self.revision = answer["revision"]
         for organisation, given in answer["tokens"].items():
-            if given:
-                self._quota.receive(organisation, given, now)
+            self._quota.receive(organisation, given)
         place = attendance.Place(**answer["place"])
         self._cold_gate.position, self._cold_gate.count = place.position, place.count
 
@@ -205,6 +208,8 @@
                 self._meet(before.get(id_), endpoint, now)
         for id_ in before.keys() - self.view.endpoint_by_id.keys():
             self._conduct_by_id.pop(id_, None)
+        if any(key.startswith((model.EVACUATION, model.ENDPOINT)) for key in items):
+            self._governor.relax(now)
         self._apply_limits()
         events.emit(
             events.STATE_IN_FORCE,
@@ -395,7 +400,10 @@
             events.emit(
                 events.DRAW_FAILED, organisation=organisation, peer=leader, error=str(error)
             )
-        self._quota.receive(organisation, given, self.clock.monotonic())
+        if given:
+            self._quota.receive(organisation, given)
+        else:
+            self._quota.deny(organisation, self.clock.monotonic())
 
     async def _run(
         self,
@@ -439,12 +447,29 @@
         now = self.clock.monotonic()
         order = self._placement.order(self.view, job.service, job.object, self._regions(job))
         homes = self._placement.homes(order, self._conduct_by_id, excluded, now)
+        near = [e for e in homes if self._placement.is_near(e)]
+        far = [e for e in homes if not self._placement.is_near(e)]
+        bound = bool(near) and not excluded
+        if bound and self._governor.must_leave(now):
+            chosen = self._with_room(job, [*far, *near], now)
+        elif bound and not self._governor.may_leave(now):
+            chosen = self._with_room(job, near, now)
+        else:
+            chosen = self._with_room(job, homes, now)
+        if chosen is not None:
+            self._governor.note(not self._placement.is_near(chosen), now)
+        return chosen
+
+    def _with_room(
+        self, job: forwarding.Job, homes: list[model.Endpoint], now: datetime.timedelta
+    ) -> model.Endpoint | None:
+        """Returns the first endpoint that has room for a job, and takes a cold one's unit."""
         service = self.view.service_by_name.get(job.service)
+        rate = service.cold_rate if service is not None else 0.0
         for endpoint in homes:
             conduct = self._conduct_by_id[endpoint.id]
             if conduct.occupied(now) >= endpoint.slots * placement.fraction(job.rank):
                 continue
-            rate = service.cold_rate if service is not None else 0.0
             cold = now < conduct.cold_until and rate > 0
             if cold and not self._cold_gate.take(endpoint.id, rate, now):
                 continue
@@ -524,6 +549,7 @@
         if shed and not isinstance(error, forwarding.MisdirectedError):
             return
         conduct.on_failure(now)
+        self._governor.relax(now)
         self._endpoint_pool.forget(endpoint.address)
         events.emit(
             events.ENDPOINT_AVOIDED,
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -1,10 +1,10 @@
 """Where a request may run, and whether there is room: placement by object and admission.
 
-Answers the patterns of a regional wave, of a hot service, of callers that move, and of a cold start:
-an object's requests go to its first endpoints in an order that all gateways compute alike, so that
-endpoints keep their objects warm; where these are full the request is refused at once. Spreading it
-further would make every run longer, and the longer runs would spread again (docs/MEASUREMENTS.md).
-"""
+Answers the patterns of a regional wave, of a hot service, of callers that move, and of a cold
+start: an object's requests go to its first endpoints in an order that all gateways compute alike,
+so that endpoints keep their objects warm; where these are full the request is refused at once.
+Spreading it further would make every run longer, and the longer runs would spread again
+(docs/MEASUREMENTS.md)."""
 
 from __future__ import annotations
 
@@ -140,7 +140,7 @@
         if order is None:
             candidates = self._candidates(view, service, regions)
             order = sorted(candidates, key=lambda e: _score(object_, e), reverse=True)
-            order.sort(key=lambda e: self._region_by_zone.get(e.zone) != self._region)
+            order.sort(key=self.is_near, reverse=True)
             self._order_by_key[key] = order
             if len(self._order_by_key) > MAX_CACHED_ORDERS:
                 self._order_by_key.popitem(last=False)
@@ -161,6 +161,10 @@
             ]
         return found
 
+    def is_near(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether an endpoint lies in the own region."""
+        return self._region_by_zone.get(endpoint.zone) == self._region
+
     def homes(
         self,
         order: list[model.Endpoint],
@@ -175,7 +179,7 @@
             conduct = conduct_by_id.get(endpoint.id)
             if conduct is not None and not conduct.usable(now):
                 continue
-            if self._region_by_zone.get(endpoint.zone) == self._region:
+            if self.is_near(endpoint):
                 near += 1
                 if near > NEAR_HOMES:
                     continue
--- a/flamingotiller/fleet/program.py
+++ b/flamingotiller/fleet/program.py
@@ -143,7 +143,7 @@
     clk: clock.Clock,
 ) -> None:
     """Reloads settings that have changed, and notes when the process was not scheduled."""
-    seen = path.read_bytes()
+    seen = _content(path)
     checked = ticked = clk.monotonic()
     while True:
         with contextlib.suppress(TimeoutError):
@@ -162,6 +162,14 @@
         seen = _reload(program, load, path, seen, reason)
 
 
+def _content(path: pathlib.Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError:
+        # A file that is being replaced is read again with the next check.
+        return b""
+
+
 def _reload(program: Program, load, path: pathlib.Path, seen: bytes, reason: str) -> bytes:
     try:
         content = path.read_bytes()
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -89,12 +89,14 @@
         if stock is not None:
             stock.tokens += 1
 
-    def receive(self, organisation: str, given: int, now: datetime.timedelta) -> None:
-        """Takes tokens that the leader has given; none means that the bucket is empty."""
+    def receive(self, organisation: str, given: int) -> None:
+        """Takes tokens that the leader has given."""
+        self._stock_by_organisation.setdefault(organisation, Stock()).tokens += given
+
+    def deny(self, organisation: str, now: datetime.timedelta) -> None:
+        """Notes that a draw has brought nothing."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
-        stock.tokens += given
-        if not given:
-            stock.denied_until = now + DENIAL
+        stock.denied_until = now + DENIAL
 
     def claim(self, organisation: str) -> Claim:
         """Returns what to ask for when the stock has run out between polls."""
