--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -107,6 +107,7 @@
         self.view = model.View()
         self.revision = 0
         self.stopping = False
+        self.listening = ("", 0)
         self._dialect = dialect
         self._rng = rng
         self._stack = contextlib.AsyncExitStack()
@@ -135,7 +136,7 @@
             stack.push_async_callback(self._peer_pool.close)
             stack.push_async_callback(self._endpoint_pool.close)
             host, _, port = self.config.address.rpartition(":")
-            await self._server.start(host, int(port))
+            self.listening = (host, await self._server.start(host, int(port)))
             stack.push_async_callback(self._supervisor.close)
             stack.push_async_callback(self._server.close)
             self._supervisor.spawn("follower", self._follower.run)
@@ -156,6 +157,15 @@
         await self._stack.aclose()
         events.emit(events.STOP_ENDED, in_flight=left)
 
+    async def abort(self) -> None:
+        """Ends at once, as when the process dies."""
+        self._server.abort()
+        await self._stack.aclose()
+
+    def proof_age(self) -> datetime.timedelta:
+        """Returns how long ago the view was last proved the newest."""
+        return self._follower.age(self.clock.monotonic())
+
     def ready(self) -> bool:
         """Returns whether new callers are welcome: a configuration is known, no stop has begun."""
         return bool(self.view.config_version) and not self.stopping
@@ -299,7 +309,7 @@
 
     def _unknown(self, code: str, status: int) -> errors.RefusedError:
         """Refuses what is not known: for good when the view is new, else until it is."""
-        if self._follower.age(self.clock.monotonic()) > CERTAIN_AGE:
+        if self.proof_age() > CERTAIN_AGE:
             return _refused(503, f"{code}-yet", retry_after_s=UNKNOWN_RETRY_AFTER_S)
         return _refused(status, code)
 
@@ -308,8 +318,7 @@
     ) -> model.Organisation | None:
         if route.open or not self.view.organisation_by_name:
             return None
-        age = self._follower.age(self.clock.monotonic())
-        if age > self.config.revocation_bound - REVOCATION_MARGIN:
+        if self.proof_age() > self.config.revocation_bound - REVOCATION_MARGIN:
             raise _refused(503, "not-confirmed", retry_after_s=UNKNOWN_RETRY_AFTER_S)
         key = request.header(self._dialect.key.decode())
         organisation = self.view.organisation_of_key(key) if key else None
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -24,7 +24,7 @@
     409: b"Conflict", 413: b"Content Too Large", 421: b"Misdirected Request",
     429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
     500: b"Internal Server Error", 501: b"Not Implemented", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    503: b"Service Unavailable", 504: b"Gateway Timeout", 505: b"HTTP Version Not Supported",
 }  # fmt: skip
 
 
@@ -52,6 +52,7 @@
 
     Attributes:
         method: Upper-case method.
+        version: Version of HTTP, such as ``1.1``.
         target: Request target as sent.
         path: Decoded path without the query.
         query: First value of each query parameter by name.
@@ -62,6 +63,7 @@
 
     def __init__(self, head: h11.Request, link: wire.Link, bounds: Bounds) -> None:
         self.method = head.method.decode("ascii")
+        self.version = head.http_version.decode("ascii")
         self.target = head.target.decode("ascii")
         split = urllib.parse.urlsplit(self.target)
         self.raw_path = split.path
@@ -463,6 +465,10 @@
         raise errors.LimitExceededError(
             "head is too large", status=431, step="read head", peer=request.peer
         )
+    if request.version not in ("1.0", "1.1"):
+        raise errors.LimitExceededError(
+            f"HTTP/{request.version} is not spoken", status=505, step="read head", peer=request.peer
+        )
     names = [name for name, _ in request.headers]
     both = b"content-length" in names and b"transfer-encoding" in names
     repeated = names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1
