Carry configurations as differences in the log; keep members that ask; elect early after a start

The wiped member was taken for gone as soon as it was a learner, since it had not answered yet, and began anew each second. Look-ups were refused for 1.9 s after all had lost power, though no earlier list was there to protect.

Change: entries carry the difference from the version that they build on; a member that asks is not gone; a leader without a list of gateways publishes the one it has; the first election after a start comes after half of the usual silence.

--- a/flamingotiller/fleet/log_task.py
+++ b/flamingotiller/fleet/log_task.py
@@ -26,6 +26,8 @@
 MAX_UNANSWERED = 8
 QUEUE_PER_PEER = 64
 STORAGE_RETRY = clock.seconds(0.25)
+# A replica that starts asks for votes early: where a leader is heard, nobody grants them.
+FIRST_ELECTION = 0.5
 # Part of the election timeout that is relied on; the rest is for clocks that differ in pace.
 CERTAINTY = 0.8
 SNAPSHOT_EVERY = 2000  # entries; bounds the replay at a start
@@ -104,6 +106,7 @@
         self._noted_role = ("", 0)
         self.storage_failed = False
         self.leading_since: datetime.timedelta | None = None
+        self.replica.hasten(clk.monotonic(), FIRST_ELECTION)
         self._load_snapshot()
 
     def start(self) -> None:
--- a/flamingotiller/fleet/roster.py
+++ b/flamingotiller/fleet/roster.py
@@ -75,7 +75,9 @@
         elif newcomer.identity not in members.voters:
             learners = {**members.learners, newcomer.identity: newcomer.address}
             return replica_messages.Members(members.voters, learners)
-    gone = _replaced(members, sighting_by_identity, zone_by_identity, now)
+    asking = {n.identity for n in newcomers if now - n.asked_at <= ASKED_WITHIN}
+    heard = {i: s for i, s in sighting_by_identity.items() if i not in asking}
+    gone = _replaced(members, heard, zone_by_identity, now)
     return _without(members, gone) if gone else None
 
 
--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -7,14 +7,14 @@
 import dataclasses
 import typing
 
-from flamingotiller.fleet import model, table
+from flamingotiller.fleet import model, patch, table
 
 # Departed lifetimes that are remembered, so that their late reports bring nothing back.
 MAX_DEPARTED = 10_000
 
 ACCEPTED, CONFLICT, STALE, IGNORED = "accepted", "conflict", "stale", "ignored"
 
-_CONFIGURED = (model.ROUTE, model.SERVICE, model.ORGANISATION, model.LIMITS, model.VERSION)
+_CONFIGURED = (model.ROUTE, model.SERVICE, model.ORGANISATION, model.LIMITS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,22 +57,28 @@
         verdict = _APPLY_BY_KIND[command["kind"]](self, command)
         return Result(verdict, self.version)
 
+    def configuration_items(self) -> dict[str, model.Document]:
+        """Returns the items that come from the configuration."""
+        return {
+            subject: document
+            for subject, document in self.table.item_by_subject.items()
+            if subject.partition("/")[0] in _CONFIGURED
+        }
+
     def _configure(self, command: dict[str, typing.Any]) -> str:
         version, base, digest = command["version"], command["base"], command["digest"]
         if self._digest_by_version.get(version) == digest:
             return ACCEPTED
-        if base != self.version:
+        # Without a patch the proposer knew another version than the base.
+        if base != self.version or command["source"] is None:
             return CONFLICT
         if version <= self.version:
             return STALE
         self._digest_by_version[version] = digest
-        self.version, self.source = version, command["source"]
-        items: dict[str, model.Document] = command["items"]
-        held = [s for s in self.table.item_by_subject if s.partition("/")[0] in _CONFIGURED]
-        for subject in held:
-            if subject not in items:
-                self.table.put(subject, None)
-        for subject, document in items.items():
+        self.version, self.source = version, patch.apply(self.source, command["source"])
+        for subject in command["items"].get("drop", ()):
+            self.table.put(subject, None)
+        for subject, document in command["items"].get("set", {}).items():
             self.table.put(subject, document)
         self.table.put(model.subject(model.VERSION), {"version": version})
         return ACCEPTED
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -30,6 +30,7 @@
     follower,
     log_task,
     model,
+    patch,
     registry,
     roster,
     state,
@@ -221,7 +222,7 @@
             leading = self._as_leader(now)
             if leading is None:
                 continue
-            if now - leading.since >= SETTLING:
+            if now - leading.since >= SETTLING or not self._present:
                 self._note_present(leading.attendance.present(now))
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
                 await self._drop_silent(leading, now)
@@ -430,17 +431,45 @@
         Raises:
             errors.FlamingotillerError: Not decided here; the order may be sent again.
         """
-        command = {"kind": "configure", **dataclasses.asdict(order)}
-        return await self._order("configure", str(order.version), command)
+        known = self.state.version == order.base
+        operation = "propose" if known else "configure"
+        arguments = self._as_command(order) if known else dataclasses.asdict(order)
+        return await self._order("configure", str(order.version), operation, arguments)
+
+    def _as_command(self, order: Order) -> dict[str, typing.Any]:
+        """Returns the log entry of an order: its difference from the version that it builds on,
+        or none where that is not the version known here."""
+        source = items = None
+        if self.state.version == order.base:
+            source = patch.difference(self.state.source, order.source)
+            items = patch.difference(self.state.configuration_items(), order.items, depth=1)
+        return {
+            "kind": "configure",
+            "version": order.version,
+            "base": order.base,
+            "digest": order.digest,
+            "source": source,
+            "items": items,
+        }
+
+    async def _configure(self, arguments: typing.Any) -> typing.Any:
+        """Takes a whole configuration, from a steward that does not know its base."""
+        order = Order(**arguments)
+        if order.base > self.state.version:
+            # A leader that was just elected may not have applied all that was acknowledged.
+            await self.log.confirm(DECISION_TIMEOUT)
+        return await self._propose(self._as_command(order))
 
     async def evacuate(self, zone: str, active: bool) -> state.Result:
         """Begins or ends the evacuation of an availability zone; errors as ``configure``."""
         command = {"kind": "evacuate", "zone": zone, "active": active}
-        return await self._order("evacuate" if active else "take back", zone, command)
+        return await self._order("evacuate" if active else "take back", zone, "propose", command)
 
-    async def _order(self, order: str, subject: str, command: typing.Any) -> state.Result:
+    async def _order(
+        self, order: str, subject: str, operation: str, arguments: typing.Any
+    ) -> state.Result:
         try:
-            result = state.Result(**await self._execute("propose", command))
+            result = state.Result(**await self._execute(operation, arguments))
         except errors.FlamingotillerError as error:
             events.emit(events.ORDER_UNDECIDED, order=order, subject=subject, error=str(error))
             raise
@@ -537,6 +566,7 @@
 }
 _OPERATIONS = {
     "propose": Steward._propose,
+    "configure": Steward._configure,
     "read": Steward._read,
     "report": Steward._report,
     "leave": Steward._leave,
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -172,6 +172,10 @@
         base = self.timing.election_timeout
         self._election_due = now + base + base * self._rng.random()
 
+    def hasten(self, now: datetime.timedelta, fraction: float) -> None:
+        """Brings the next election forward to a fraction of the usual silence."""
+        self._election_due = now + fraction * (self._election_due - now)
+
     # Elections
 
     def _start_pre_vote(self, now: datetime.timedelta) -> None:
--- a/tests/test_fleet_roster.py
+++ b/tests/test_fleet_roster.py
@@ -51,6 +51,8 @@
         (members(), [newcomer("a.1", "a:1")], {}),
         (members(), [newcomer("d.1", "d:1", ago=5)], {}),
         (members(None, {"d.1": "d:1"}), [newcomer("d.1", "d:1")], {"d.1": sighting(9)}),
+        # A learner that asks is there, though it has not answered yet.
+        (members(None, {"d.1": "d:1"}), [newcomer("d.1", "d:1")], {"d.1": sighting(0, 90)}),
         # A silent voter that nobody replaces stays: its vote may be needed when it is back.
         (members(), [], {"c.1": sighting(10, 60)}),
     ],
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -109,6 +109,21 @@
     run(work())
 
 
+def test_order_reaches_a_steward_that_lags_behind_its_base(tmp_path):
+    """The whole order goes to the leader, which knows the version that it builds on."""
+
+    async def work():
+        async with Stewards(tmp_path) as site:
+            leader = await site.settled(3)
+            await site.decide(lambda p: p.configure(order(1, 0)))
+            lagging = next(p for p in site.by_host.values() if p is not leader)
+            lagging.state = state.FleetState()
+            assert (await lagging.configure(order(2, 1))).verdict == state.ACCEPTED
+            assert leader.state.source == {"version": "r2"}
+
+    run(work())
+
+
 def test_of_racing_orders_one_wins(tmp_path):
     async def work():
         async with Stewards(tmp_path) as site:
