Give gateways reserves of rates for the time without a leader; keep a region's part of objects near

After all lost power, sixteen of 24 gateways asked the new leader once while it wrote 24 whole states, and then avoided it for 1.5 s.

Change: the leader grants each gateway a reserve out of what the contract leaves unused, and keeps it free when it does not hear the gateway; tokens refill at the contract's pace, at most the burst at once; as many objects stay near as the region has of all slots; answers to polls are not copied item by item; a peer that did not answer is asked again after 0.6 s.

Conclusion: what is left of the worst windows is the time until gateways know the new leader's state.

--- a/flamingotiller/fleet/bank.py
+++ b/flamingotiller/fleet/bank.py
@@ -1,8 +1,12 @@
 """Organisations' rates, accounted for at the leader, from which gateways draw tokens.
 
-In any window of time no more tokens are given than the rate allows in it plus the burst. A token is
-given before a gateway may use it, so whatever is lost, frozen or cut off, no more requests pass. A
-new leader does not know what was given before it, and counts on the most that may have been."""
+In any window of time no more tokens are given than the rate allows in it plus the burst, and no
+more than the burst at once. A token is given before a gateway may use it, so whatever is lost,
+frozen or cut off, no more requests pass.
+
+Beside them each gateway has a reserve for the time without a leader, made of what the contract
+leaves unused; the leader keeps it free once it does not hear the gateway. A new leader does not know
+what was given before it, and counts on the most that may have been."""
 
 from __future__ import annotations
 
@@ -15,6 +19,12 @@
 
 # A gateway that is silent for so long no longer admits requests that need tokens.
 STOCK_LIFETIME = clock.seconds(4)
+# A gateway that is silent for this long may have begun to use its reserve; it waits longer.
+SILENCE = clock.seconds(0.6)
+# Length of an outage that a reserve is for, seconds; keys cannot be confirmed for longer.
+OUTAGE_S = 3.0
+# Demand may rise during an outage.
+RESERVE_FACTOR = 1.5
 # Steps in which a new leader lets go of what may have been given before.
 UNKNOWN_STEPS = 20
 
@@ -53,11 +63,45 @@
         gateway: Its name.
         stock: Tokens that it has left.
         wanted: Further ones; negative for some that it gives back.
+        demand: Requests per second of late.
+        spent: Tokens of its reserve that it has used since it said so last.
     """
 
     gateway: str
     stock: int
     wanted: int
+    demand: float = 0.0
+    spent: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """What a gateway is given.
+
+    Attributes:
+        tokens: Tokens beside those that it has.
+        reserve: Requests that it may let pass in all while no leader answers it.
+    """
+
+    tokens: int
+    reserve: int
+
+
+@dataclasses.dataclass
+class Presence:
+    """What an account knows of a gateway.
+
+    Attributes:
+        stock: Tokens that it has.
+        demand: Requests per second of late.
+        reserve: What it may use while it is not heard.
+        heard_at: When it was last heard.
+    """
+
+    stock: int
+    demand: float
+    reserve: int
+    heard_at: datetime.timedelta
 
 
 class Account:
@@ -79,35 +123,74 @@
         self._given = collections.deque(
             (now - i * step, "", part) for i in range(UNKNOWN_STEPS, 0, -1)
         )
-        self._stock_by_gateway: dict[str, tuple[int, datetime.timedelta]] = {}
-
-    def draw(self, draw: Draw, rate: float, burst: float, now: datetime.timedelta) -> int:
-        """Returns the whole tokens that a gateway is given, none when it gives some back."""
-        self._stock_by_gateway[draw.gateway] = (draw.stock, now)
+        self._presence_by_gateway: dict[str, Presence] = {}
+        self._level = 0.0
+        self._level_at = now
+
+    def draw(self, draw: Draw, rate: float, burst: float, now: datetime.timedelta) -> Grant:
+        """Returns what a gateway is given; no tokens when it gives some back."""
+        self._refill(rate, burst, now)
+        presence = Presence(draw.stock, draw.demand, 0, now)
+        self._presence_by_gateway[draw.gateway] = presence
+        if draw.spent:
+            self._give(draw.gateway, draw.spent, now)
+        room = self._room(rate, burst, now)
         if draw.wanted < 0:
-            self._given.append((now, draw.gateway, draw.wanted))
-            return 0
-        given = max(0, min(draw.wanted, int(self._room(rate, burst, now))))
-        if given:
-            self._given.append((now, draw.gateway, given))
-            self._stock_by_gateway[draw.gateway] = (draw.stock + given, now)
-        return given
+            self._give(draw.gateway, draw.wanted, now)
+            given = 0
+        else:
+            given = max(0, min(draw.wanted, int(room), int(self._level)))
+            if given:
+                self._give(draw.gateway, given, now)
+        presence.stock += given
+        presence.reserve = self._reserve(presence, room - given)
+        return Grant(given, presence.reserve)
+
+    def _give(self, gateway: str, amount: int, now: datetime.timedelta) -> None:
+        self._given.append((now, gateway, amount))
+        self._level -= amount
+
+    def _refill(self, rate: float, burst: float, now: datetime.timedelta) -> None:
+        """Adds to what may be given at once: the burst, and in a window all that it allows."""
+        elapsed = max(0.0, (now - self._level_at).total_seconds())
+        self._level_at = now
+        pace = self._tolerance.allowed(rate, burst) / self._tolerance.window.total_seconds()
+        self._level = min(max(1.0, burst), self._level + pace * elapsed)
 
     def _room(self, rate: float, burst: float, now: datetime.timedelta) -> float:
-        while self._given and now - self._given[0][0] > self._tolerance.window:
+        window = self._tolerance.window
+        while self._given and now - self._given[0][0] > window:
             self._given.popleft()
-        self._stock_by_gateway = {
-            name: held
-            for name, held in self._stock_by_gateway.items()
-            if now - held[1] <= STOCK_LIFETIME
+        self._presence_by_gateway = {
+            name: presence
+            for name, presence in self._presence_by_gateway.items()
+            if now - presence.heard_at <= STOCK_LIFETIME + window
         }
         given: dict[str, float] = collections.defaultdict(float)
         for _, gateway, amount in self._given:
             given[gateway] += amount
         # Tokens that were given before the window could be used up together with all in it.
-        old = sum(max(0, s - given[name]) for name, (s, _) in self._stock_by_gateway.items())
+        old = sum(max(0, p.stock - given[n]) for n, p in self._presence_by_gateway.items())
         excess = max(0.0, old - self._tolerance.stock(rate, burst))
-        return self._tolerance.allowed(rate, burst) - sum(given.values()) - excess
+        unheard = sum(
+            presence.reserve
+            for presence in self._presence_by_gateway.values()
+            if now - presence.heard_at > SILENCE
+        )
+        return self._tolerance.allowed(rate, burst) - sum(given.values()) - excess - unheard
+
+    def _reserve(self, presence: Presence, room: float) -> int:
+        """Returns a gateway's part of what the contract leaves unused.
+
+        Callers are spread over gateways, so half of the part goes by the mean demand: that of one
+        gateway tells little of its next seconds.
+        """
+        count = len(self._presence_by_gateway)
+        total = sum(p.demand for p in self._presence_by_gateway.values())
+        if total <= 0 or room <= 0:
+            return 0
+        expected = (presence.demand + total / count) / 2
+        return int(min(RESERVE_FACTOR * OUTAGE_S * expected, room * expected / total))
 
 
 class Bank:
@@ -125,8 +208,8 @@
 
     def draw(
         self, organisation: str, draw: Draw, rate: float, burst: float, now: datetime.timedelta
-    ) -> int:
-        """Returns the tokens of an organisation that a gateway is given; see ``Account.draw``."""
+    ) -> Grant:
+        """Returns what a gateway is given of an organisation's tokens; see ``Account.draw``."""
         account = self._account_by_organisation.get(organisation)
         if account is None:
             account = Account(self._tolerance, rate, burst, self._opened)
--- a/flamingotiller/fleet/follower.py
+++ b/flamingotiller/fleet/follower.py
@@ -18,7 +18,7 @@
 # Pause after a round of peers that do not know the leader.
 RETRY_PAUSE = clock.seconds(0.1)
 # A peer that did not answer is asked again only after the others.
-AVOID_FOR = clock.seconds(1.5)
+AVOID_FOR = clock.seconds(0.6)
 
 Poll = collections.abc.Callable[[], dict[str, typing.Any]]
 Take = collections.abc.Callable[[dict[str, typing.Any], datetime.timedelta], None]
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -23,6 +23,7 @@
 )
 from flamingotiller.fleet import (
     attendance,
+    bank,
     follower,
     forwarding,
     model,
@@ -47,6 +48,8 @@
 UNKNOWN_RETRY_AFTER_S = 0.5
 # Tokens come in steadily; callers beyond their organisation's rate are spread over some draws.
 OVER_RATE_RETRY_AFTER_S = (0.3, 0.9)
+# Without an answer for this long the reserve is used; the leader keeps it free from sooner on.
+RESERVE_AGE = clock.seconds(0.8)
 DRAW_TIMEOUT = clock.seconds(0.25)  # several round trips between regions
 # A stopping gateway goes on for callers that hold an older look-up's answer, then finishes.
 LINGER = clock.seconds(3.5)
@@ -180,11 +183,11 @@
             self.config.region,
             self.ready(),
         )
-        claims = self._quota.claims(self.clock.monotonic())
+        draws = self._quota.draws(self.config.name, self.clock.monotonic())
         return {
             "gateway": dataclasses.asdict(gateway),
             "revision": self.revision,
-            "claims": {name: [c.stock, c.wanted] for name, c in claims.items()},
+            "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
         }
 
     def _take(self, answer: dict[str, typing.Any], sent: datetime.timedelta) -> None:
@@ -200,8 +203,8 @@
         if answer["items"] or answer["full"]:
             self._take_items(answer, now)
         self.revision = answer["revision"]
-        for organisation, given in answer["tokens"].items():
-            self._quota.receive(organisation, given)
+        for organisation, grant in answer["grants"].items():
+            self._quota.receive(organisation, bank.Grant(*grant))
         place = attendance.Place(**answer["place"])
         self._cold_gate.position, self._cold_gate.count = place.position, place.count
 
@@ -377,6 +380,8 @@
             await self._draw(organisation.name)
             if self._quota.take_drawn(organisation.name):
                 return
+        if self.proof_age() > RESERVE_AGE and self._quota.take_reserved(organisation.name):
+            return
         wait = self._rng.uniform(*OVER_RATE_RETRY_AFTER_S)
         raise _refused(429, "over-rate", retry_after_s=wait)
 
@@ -391,27 +396,22 @@
 
     async def _ask_tokens(self, organisation: str) -> None:
         leader = self._follower.leader
-        claim = self._quota.claim(organisation)
-        given = 0
-        body = {"organisation": organisation, "gateway": self.config.name}
+        draw = self._quota.draw(self.config.name, organisation)
+        body = {"organisation": organisation, "draw": dataclasses.astuple(draw)}
+        grant = bank.Grant(0, 0)
         try:
             if leader:
                 answer = await self._peers.call(
-                    leader,
-                    "POST",
-                    "/v1/draw",
-                    {**body, **dataclasses.asdict(claim)},
-                    timeout=DRAW_TIMEOUT,
+                    leader, "POST", "/v1/draw", body, timeout=DRAW_TIMEOUT
                 )
                 document = client.raise_for_status(answer, step="draw", peer=leader)
-                given = int(document["given"])
+                grant = bank.Grant(*document["grant"])
+                self._quota.receive(organisation, grant)
         except errors.FlamingotillerError as error:
             events.emit(
                 events.DRAW_FAILED, organisation=organisation, peer=leader, error=str(error)
             )
-        if given:
-            self._quota.receive(organisation, given)
-        else:
+        if not grant.tokens:
             self._quota.deny(organisation, self.clock.monotonic())
 
     async def _run(
@@ -456,17 +456,15 @@
         now = self.clock.monotonic()
         order = self._placement.order(self.view, job.service, job.object, self._regions(job))
         homes = self._placement.homes(order, self._conduct_by_id, excluded, now)
-        near = [e for e in homes if self._placement.is_near(e)]
-        far = [e for e in homes if not self._placement.is_near(e)]
-        bound = bool(near) and not excluded
+        bound = len(homes) > 1 and not excluded
         if bound and self._governor.must_leave(now):
-            chosen = self._with_room(job, [*far, *near], now)
+            chosen = self._with_room(job, [*homes[1:], homes[0]], now)
         elif bound and not self._governor.may_leave(now):
-            chosen = self._with_room(job, near, now)
+            chosen = self._with_room(job, homes[:1], now)
         else:
             chosen = self._with_room(job, homes, now)
         if chosen is not None:
-            self._governor.note(not self._placement.is_near(chosen), now)
+            self._governor.note(chosen is not homes[0], now)
         return chosen
 
     def _with_room(
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -18,9 +18,12 @@
 from flamingotiller import clock
 from flamingotiller.fleet import model
 
-# An object's endpoints in the own region and elsewhere; ways compared in docs/MEASUREMENTS.md.
+# An object's endpoints, and how many of them may lie in the own region before one lies elsewhere;
+# ways compared in docs/MEASUREMENTS.md.
+HOMES = 2
 NEAR_HOMES = 1
-FAR_HOMES = 1
+# Objects that stay near, relative to the region's part of all slots.
+COMFORT = 1.0
 # Part of an endpoint's slots up to which requests are admitted, by rank; the last holds beyond.
 FULL_BY_RANK = (1.2, 1.0, 0.8)
 # What others have running at an endpoint is forgotten at this pace after its last word.
@@ -126,8 +129,9 @@
     ) -> list[model.Endpoint]:
         """Returns the endpoints that may serve, an object's own first.
 
-        Callers of one object are of one region, so its first endpoints lie there; those of other
-        regions follow, larger ones more often first. All gateways of a region agree on it.
+        Callers of one object are of one region, so its first endpoints lie there as far as the
+        region's slots go; the first endpoints of other objects, and the second of all, lie
+        elsewhere, more often at larger endpoints. All gateways of a region agree on it.
 
         Args:
             view: What is known of the fleet.
@@ -140,12 +144,29 @@
         if order is None:
             candidates = self._candidates(view, service, regions)
             order = sorted(candidates, key=lambda e: _score(object_, e), reverse=True)
-            order.sort(key=self.is_near, reverse=True)
+            near = [e for e in order if self.is_near(e)]
+            far = [e for e in order if not self.is_near(e)]
+            stays = _uniform("region", object_) < self._part_near(candidates)
+            order = [*near[:NEAR_HOMES], *far] if stays else [*far, *near]
             self._order_by_key[key] = order
             if len(self._order_by_key) > MAX_CACHED_ORDERS:
                 self._order_by_key.popitem(last=False)
         return order
 
+    def _part_near(self, candidates: list[model.Endpoint]) -> float:
+        """Returns the part of the own region's objects that its endpoints have slots for.
+
+        Regions ask for about as much as one another, while their endpoints may be few.
+        """
+        slots_by_region: dict[str, int] = collections.defaultdict(int)
+        for endpoint in candidates:
+            slots_by_region[self._region_by_zone.get(endpoint.zone, "")] += endpoint.slots
+        total = sum(slots_by_region.values())
+        regions = len(set(self._region_by_zone.values()))
+        if not total:
+            return 0.0
+        return min(1.0, COMFORT * regions * slots_by_region[self._region] / total)
+
     def _candidates(
         self, view: model.View, service: str, regions: frozenset[str]
     ) -> list[model.Endpoint]:
@@ -172,22 +193,17 @@
         excluded: collections.abc.Collection[str],
         now: datetime.timedelta,
     ) -> list[model.Endpoint]:
-        """Returns the endpoints to try: the first that serve, of the own region and elsewhere."""
+        """Returns the endpoints to try: the first of the order that serve."""
         found: list[model.Endpoint] = []
-        near = far = 0
+        serving = 0
         for endpoint in order:
             conduct = conduct_by_id.get(endpoint.id)
             if conduct is not None and not conduct.usable(now):
                 continue
-            if self.is_near(endpoint):
-                near += 1
-                if near > NEAR_HOMES:
-                    continue
-            else:
-                far += 1
+            serving += 1
             if endpoint.id not in excluded:
                 found.append(endpoint)
-            if far == FAR_HOMES:
+            if serving == HOMES:
                 break
         return found
 
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -6,12 +6,12 @@
 import datetime
 
 from flamingotiller import clock
-from flamingotiller.fleet import model
+from flamingotiller.fleet import bank, model
 
 # Demand is averaged over about this time.
 DEMAND_MEMORY_S = 1.0
 # A stock lasts for about this time: two polls, the second of which may be late.
-STOCK_S = 0.7
+STOCK_S = 1.0
 # Demand below which nothing is kept in stock, requests per second.
 LEAST_DEMAND = 0.2
 # After a refused draw none is tried again for this long; the leader's bucket fills meanwhile.
@@ -27,27 +27,18 @@
         arrivals: Requests since the demand was last measured.
         demand: Requests per second of late.
         denied_until: When a draw may be tried again.
+        reserve: Requests that may pass while no leader answers.
+        spent: Those that have, since the leader was last told.
     """
 
     tokens: int = 0
+    reserve: int = 0
+    spent: int = 0
     arrivals: int = 0
     demand: float = 0.0
     denied_until: datetime.timedelta = clock.ZERO
 
 
-@dataclasses.dataclass(frozen=True)
-class Claim:
-    """What a gateway says of one organisation with a poll.
-
-    Attributes:
-        stock: Tokens that it has.
-        wanted: Further ones that it asks for; negative for some that it gives back.
-    """
-
-    stock: int
-    wanted: int
-
-
 class Quota:
     """Stocks by organisation.
 
@@ -79,6 +70,15 @@
         stock = self._stock_by_organisation.get(organisation)
         return stock is not None and now >= stock.denied_until
 
+    def take_reserved(self, organisation: str) -> bool:
+        """Returns whether a request passes while no leader answers."""
+        stock = self._stock_by_organisation.get(organisation)
+        if stock is None or stock.reserve < 1:
+            return False
+        stock.reserve -= 1
+        stock.spent += 1
+        return True
+
     def take_drawn(self, organisation: str) -> bool:
         """Returns whether a request that has waited for a draw passes."""
         return self._take(self._stock_by_organisation.setdefault(organisation, Stock()))
@@ -89,21 +89,24 @@
         if stock is not None:
             stock.tokens += 1
 
-    def receive(self, organisation: str, given: int) -> None:
-        """Takes tokens that the leader has given."""
-        self._stock_by_organisation.setdefault(organisation, Stock()).tokens += given
+    def receive(self, organisation: str, grant: bank.Grant) -> None:
+        """Takes what the leader has given."""
+        stock = self._stock_by_organisation.setdefault(organisation, Stock())
+        stock.tokens += grant.tokens
+        stock.reserve = grant.reserve
 
     def deny(self, organisation: str, now: datetime.timedelta) -> None:
         """Notes that a draw has brought nothing."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
         stock.denied_until = now + DENIAL
 
-    def claim(self, organisation: str) -> Claim:
+    def draw(self, gateway: str, organisation: str) -> bank.Draw:
         """Returns what to ask for when the stock has run out between polls."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
-        return Claim(stock.tokens, max(1, self._target(stock) - stock.tokens))
+        wanted = max(1, self._target(stock) - stock.tokens)
+        return self._as_draw(gateway, stock, wanted)
 
-    def claims(self, now: datetime.timedelta) -> dict[str, Claim]:
+    def draws(self, gateway: str, now: datetime.timedelta) -> dict[str, bank.Draw]:
         """Measures demand and returns what to ask for with a poll, by organisation.
 
         Tokens that are given back are no longer in stock, whether the poll arrives or not.
@@ -111,7 +114,7 @@
         elapsed = max(1e-3, (now - self._measured_at).total_seconds())
         keep = max(0.0, 1.0 - elapsed / DEMAND_MEMORY_S)
         self._measured_at = now
-        claims = {}
+        draws = {}
         for name, stock in self._stock_by_organisation.items():
             stock.demand = keep * stock.demand + (1 - keep) * stock.arrivals / elapsed
             stock.arrivals = 0
@@ -121,11 +124,17 @@
                 wanted = 0
             if wanted < 0:
                 stock.tokens += wanted
-            claims[name] = Claim(stock.tokens, wanted)
-        return claims
+            draws[name] = self._as_draw(gateway, stock, wanted)
+        return draws
+
+    @staticmethod
+    def _as_draw(gateway: str, stock: Stock, wanted: int) -> bank.Draw:
+        # The reserve ends with the ask: the leader knows the gateway as heard from then on.
+        spent, stock.spent = stock.spent, 0
+        return bank.Draw(gateway, stock.tokens, wanted, round(stock.demand, 2), spent)
 
     @staticmethod
     def _target(stock: Stock) -> int:
         if stock.demand < LEAST_DEMAND:
             return 0
-        return 1 + round(stock.demand * STOCK_S)
+        return 2 + round(stock.demand * STOCK_S)
--- a/flamingotiller/fleet/spill.py
+++ b/flamingotiller/fleet/spill.py
@@ -24,7 +24,7 @@
 
 
 class Governor:
-    """Shares of one gateway's requests that run in other regions, of late.
+    """Shares of one gateway's requests that run elsewhere than at their first endpoints, of late.
 
     Args:
         most_shift: Part of a region's requests that may change region between two windows.
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -349,30 +349,27 @@
     ) -> dict[str, typing.Any]:
         now = self.clock.monotonic()
         leading.attendance.hear(gateway, now)
-        given = {
-            organisation: self._give(leading, organisation, gateway.name, *claim)
-            for organisation, claim in body["claims"].items()
+        grants = {
+            organisation: dataclasses.astuple(self._give(leading, organisation, bank.Draw(*draw)))
+            for organisation, draw in body["draws"].items()
         }
+        delta = self.state.table.since(body["revision"])
         return {
             "members": self._member_addresses(),
-            "tokens": given,
+            "grants": grants,
             "place": dataclasses.asdict(leading.attendance.place(gateway.name)),
-            **dataclasses.asdict(self.state.table.since(body["revision"])),
+            "revision": delta.revision,
+            "full": delta.full,
+            "items": delta.items,
         }
 
-    def _give(
-        self, leading: _Leading, organisation: str, gateway: str, stock: int, wanted: int
-    ) -> int:
-        """Returns the tokens that a gateway is given from an organisation's bucket."""
+    def _give(self, leading: _Leading, organisation: str, draw: bank.Draw) -> bank.Grant:
+        """Returns what a gateway is given of an organisation's tokens."""
         document = self.state.table.item_by_subject.get(f"organisation/{organisation}")
         if document is None or not document["rate"]:
-            return 0
+            return bank.Grant(0, 0)
         return leading.bank.draw(
-            organisation,
-            bank.Draw(gateway, stock, wanted),
-            document["rate"],
-            document["burst"],
-            self.clock.monotonic(),
+            organisation, draw, document["rate"], document["burst"], self.clock.monotonic()
         )
 
     async def _on_draw(self, body: typing.Any) -> typing.Any:
@@ -380,10 +377,8 @@
         leading = self._require_leading()
         if not self.log.certain(self.clock.monotonic()):
             raise errors.UnavailableError("not certain to lead", step="draw")
-        given = self._give(
-            leading, body["organisation"], body["gateway"], body["stock"], body["wanted"]
-        )
-        return {"given": given}
+        grant = self._give(leading, body["organisation"], bank.Draw(*body["draw"]))
+        return {"grant": dataclasses.astuple(grant)}
 
     def _member_addresses(self) -> list[str]:
         members = self.log.replica.members
--- a/tests/fleet_stand_ins.py
+++ b/tests/fleet_stand_ins.py
@@ -59,14 +59,14 @@
         if request.path == "/v1/draw":
             given = self.tokens.get(body["organisation"], 0)
             self.tokens[body["organisation"]] = 0
-            await reply.json(200, {"given": given})
+            await reply.json(200, {"grant": [given, 0]})
             return
         self.polls.append(body)
         if body["revision"] == self.revision:
             await asyncio.sleep(0.02)
         answer = {
             "members": [self.address],
-            "tokens": {},
+            "grants": {},
             "place": {"position": 0, "count": 1},
             "revision": self.revision,
             "full": True,
--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -10,10 +10,12 @@
 import pytest
 
 from flamingotiller import clock
-from flamingotiller.fleet import bank, model, quota
+from flamingotiller.fleet import bank, gateway, model, quota
 
 TOLERANCE = bank.Tolerance(clock.seconds(5), overage=0.1, slack=20)
 RATE, BURST = 40.0, 40.0
+# Age of the last answer up to which a gateway serves keyed requests.
+LONGEST_USE = clock.seconds(3.5)
 # What the platform's rule allows in a window.
 BOUND = (RATE * 5 + BURST) * 1.1 + 20
 
@@ -29,27 +31,38 @@
         self.now = clock.seconds(100)
         self.leader = leader or bank.Bank(TOLERANCE, self.now - clock.seconds(100))
         self.quota_by_gateway = {f"g{i}": quota.Quota(self.now) for i in range(gateways)}
+        self.answered_at = dict.fromkeys(self.quota_by_gateway, self.now)
+        self.heard_at = dict(self.answered_at)
         self.passed = collections.deque()
         self.refused = 0
 
     def poll(self, name, lost=False):
-        for org, claim in self.quota_by_gateway[name].claims(self.now).items():
-            self._draw(name, org, claim, lost)
+        self.heard_at[name] = self.now
+        for org, draw in self.quota_by_gateway[name].draws(name, self.now).items():
+            self._draw(name, org, draw, lost)
+        if not lost:
+            self.answered_at[name] = self.now
 
-    def _draw(self, name, org, claim, lost=False):
-        draw = bank.Draw(name, claim.stock, claim.wanted)
-        given = self.leader.draw(org, draw, RATE, BURST, self.now)
+    def _draw(self, name, org, draw, lost=False):
+        grant = self.leader.draw(org, draw, RATE, BURST, self.now)
         if not lost:
-            self.quota_by_gateway[name].receive(org, given)
-        return given
+            self.quota_by_gateway[name].receive(org, grant)
+        return grant.tokens
 
     def request(self, name, in_touch=True):
         stock = self.quota_by_gateway[name]
         passes = stock.arrive(organisation())
         if not passes and in_touch and stock.may_draw("o", self.now):
-            if not self._draw(name, "o", stock.claim("o")):
+            if not self._draw(name, "o", stock.draw(name, "o")):
                 stock.deny("o", self.now)
             passes = stock.take_drawn("o")
+        age = self.now - self.answered_at[name]
+        if age > LONGEST_USE:
+            # Keys cannot be confirmed any more, so nothing passes.
+            self.refused += 1
+            return False
+        if not passes and age > gateway.RESERVE_AGE:
+            passes = stock.take_reserved("o")
         if passes:
             self.passed.append(self.now)
         else:
@@ -113,7 +126,7 @@
 def test_planted_mistake_of_a_leader_that_begins_with_a_full_account_is_caught():
     fleet = Fleet(2)
     with pytest.raises(AssertionError):
-        for _ in range(4):
+        for _ in range(12):
             for _ in range(300):
                 fleet.request("g0")
             fleet.leader = bank.Bank(TOLERANCE, fleet.now - clock.seconds(100))
@@ -150,6 +163,46 @@
     assert fleet.refused == 0
 
 
+@pytest.mark.parametrize("outage_s", [2.5, 3.1])
+def test_requests_within_the_contract_pass_while_no_leader_answers(outage_s):
+    """The core is down: gateways go on with their reserves, and stay within the contract."""
+    rng = random.Random(5)
+    fleet = Fleet(8)
+    names = list(fleet.quota_by_gateway)
+    refused_in_outage = 0
+    for step in range(2500):
+        fleet.now += clock.seconds(0.01)
+        second = step * 0.01
+        down = 12 <= second < 12 + outage_s
+        if step == int((12 + outage_s) * 100):
+            fleet.leader = bank.Bank(TOLERANCE, fleet.now)
+        if rng.random() < RATE * 0.6 * 0.01:
+            passed = fleet.request(rng.choice(names), in_touch=not down)
+            refused_in_outage += down and not passed
+        if step % 30 == 0 and not down:
+            for name in names:
+                fleet.poll(name)
+        fleet.check()
+    assert refused_in_outage <= 0.05 * RATE * 0.6 * outage_s
+
+
+def test_leader_keeps_the_reserve_of_a_gateway_free_that_it_does_not_hear():
+    """One gateway is cut off and uses its reserve while the others ask for all they can get."""
+    fleet = Fleet(4)
+    for step in range(3000):
+        fleet.now += clock.seconds(0.01)
+        cut = step > 1000
+        if step % 5 == 0:
+            fleet.request("g0", in_touch=not cut)
+        for name in ("g1", "g2", "g3"):
+            if step > 1000 or step % 20 == 0:
+                fleet.request(name)
+        if step % 30 == 0:
+            for name in ("g1", "g2", "g3") if cut else fleet.quota_by_gateway:
+                fleet.poll(name)
+        fleet.check()
+
+
 def test_hot_organisation_is_held_to_its_contract_and_gets_all_of_it():
     """Hot organisation: eight times the rate over all gateways."""
     rng = random.Random(3)
@@ -171,12 +224,12 @@
 def test_unlimited_organisations_need_no_tokens():
     stock = quota.Quota(clock.ZERO)
     assert all(stock.arrive(organisation(rate=0.0)) for _ in range(100))
-    assert stock.claims(clock.seconds(1)) == {}
+    assert stock.draws("g", clock.seconds(1)) == {}
 
 
 def test_token_of_a_refused_request_is_used_by_the_next():
     stock = quota.Quota(clock.ZERO)
-    stock.receive("o", 1)
+    stock.receive("o", bank.Grant(1, 0))
     assert stock.arrive(organisation())
     assert not stock.arrive(organisation())
     stock.give_back("o")
