Let a newer append replace those that wait for a slow member; spread first elections

Each of a dozen endpoints' reports made an append for each member, and these went out one round trip after the other. After a loss of power four stewards stood for election within 0.1 s and split the votes.

Ruled out: the size of the states (sixteen answers left within 20 ms), disks (5 ms a sync).

Change: an append that waits is replaced by a newer one, which contains it; first elections are spread over a whole election timeout.

--- a/flamingotiller/fleet/bank.py
+++ b/flamingotiller/fleet/bank.py
@@ -5,8 +5,8 @@
 frozen or cut off, no more requests pass.
 
 Beside them each gateway has a reserve for the time without a leader, made of what the contract
-leaves unused; the leader keeps it free once it does not hear the gateway. A new leader does not know
-what was given before it, and counts on the most that may have been."""
+leaves unused; the leader keeps it free once it does not hear the gateway. A new leader does not
+know what was given before it, and counts on the most that may have been."""
 
 from __future__ import annotations
 
--- a/flamingotiller/fleet/log_task.py
+++ b/flamingotiller/fleet/log_task.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -26,8 +27,9 @@
 MAX_UNANSWERED = 8
 QUEUE_PER_PEER = 64
 STORAGE_RETRY = clock.seconds(0.25)
-# A replica that starts asks for votes early: where a leader is heard, nobody grants them.
-FIRST_ELECTION = 0.5
+# A replica that starts asks for votes early, as a part of the election timeout: where a leader is
+# heard nobody grants them. The spread keeps replicas that start together from splitting the votes.
+FIRST_ELECTION = 0.2
 # Part of the election timeout that is relied on; the rest is for clocks that differ in pace.
 CERTAINTY = 0.8
 SNAPSHOT_EVERY = 2000  # entries; bounds the replay at a start
@@ -70,6 +72,31 @@
 Inbound = Received | Proposal | None
 
 
+class Outbox:
+    """Messages that wait for a member; an append replaces earlier ones, which it contains."""
+
+    def __init__(self) -> None:
+        self._messages: collections.deque[replica_messages.Message] = collections.deque()
+        self._filled = asyncio.Event()
+
+    def put(self, message: replica_messages.Message) -> None:
+        """Adds a message."""
+        if isinstance(message, replica_messages.Append):
+            kept = (m for m in self._messages if not isinstance(m, replica_messages.Append))
+            self._messages = collections.deque(kept)
+        while len(self._messages) >= QUEUE_PER_PEER:
+            self._messages.popleft()
+        self._messages.append(message)
+        self._filled.set()
+
+    async def get(self) -> replica_messages.Message:
+        """Waits for a message and returns the first."""
+        while not self._messages:
+            self._filled.clear()
+            await self._filled.wait()
+        return self._messages.popleft()
+
+
 class LogTask:
     """Runs one replica.
 
@@ -99,14 +126,14 @@
         self._clock = clk
         self._spawn = spawn
         self._inbox: asyncio.Queue[Inbound] = asyncio.Queue()
-        self._queue_by_peer: dict[str, asyncio.Queue[replica_messages.Message]] = {}
+        self._outbox_by_peer: dict[str, Outbox] = {}
         self._waiting: dict[int, list[tuple[int, asyncio.Future[typing.Any]]]] = {}
         self._readers: list[tuple[datetime.timedelta, asyncio.Future[None]]] = []
         self._applied = 0
         self._noted_role = ("", 0)
         self.storage_failed = False
         self.leading_since: datetime.timedelta | None = None
-        self.replica.hasten(clk.monotonic(), FIRST_ELECTION)
+        self.replica.hasten(clk.monotonic() + FIRST_ELECTION * timing.election_timeout)
         self._load_snapshot()
 
     def start(self) -> None:
@@ -316,11 +343,9 @@
             if isinstance(item, Received):
                 _settle(item.replies, by_peer.pop(item.sender, []))
         for identity, messages in by_peer.items():
-            queue = self._queue_for(identity)
+            outbox_of_peer = self._outbox_for(identity)
             for message in messages:
-                if queue.full():
-                    queue.get_nowait()
-                queue.put_nowait(message)
+                outbox_of_peer.put(message)
 
     def _note_role(self, now: datetime.timedelta) -> None:
         role = (self.replica.role, self.replica.store.term)
@@ -358,20 +383,20 @@
             if self._inbox.empty():
                 self._inbox.put_nowait(None)
 
-    def _queue_for(self, identity: str) -> asyncio.Queue[replica_messages.Message]:
-        queue = self._queue_by_peer.get(identity)
-        if queue is None:
-            queue = self._queue_by_peer[identity] = asyncio.Queue(QUEUE_PER_PEER)
-            self._spawn(f"sender {identity}", lambda: self._send(identity, queue))
-        return queue
+    def _outbox_for(self, identity: str) -> Outbox:
+        outbox = self._outbox_by_peer.get(identity)
+        if outbox is None:
+            outbox = self._outbox_by_peer[identity] = Outbox()
+            self._spawn(f"sender {identity}", lambda: self._send(identity, outbox))
+        return outbox
 
-    async def _send(self, identity: str, queue: asyncio.Queue[replica_messages.Message]) -> None:
+    async def _send(self, identity: str, outbox: Outbox) -> None:
         """Sends a peer its messages in order; one without an answer does not hold up the rest."""
         unanswered = asyncio.Semaphore(MAX_UNANSWERED)
         pace = self.replica.timing.heartbeat.total_seconds()
         async with asyncio.TaskGroup() as group:
             while True:
-                message = await queue.get()
+                message = await outbox.get()
                 await unanswered.acquire()
                 task = group.create_task(self._send_one(identity, message))
                 task.add_done_callback(lambda _: unanswered.release())
@@ -396,7 +421,7 @@
 
     async def _deliver(self, sender: str, message: replica_messages.Message) -> None:
         for reply in await self.receive(sender, message):
-            self._queue_for(sender).put_nowait(reply)
+            self._outbox_for(sender).put(reply)
 
 
 def _settle(
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -172,9 +172,9 @@
         base = self.timing.election_timeout
         self._election_due = now + base + base * self._rng.random()
 
-    def hasten(self, now: datetime.timedelta, fraction: float) -> None:
-        """Brings the next election forward to a fraction of the usual silence."""
-        self._election_due = now + fraction * (self._election_due - now)
+    def hasten(self, earliest: datetime.timedelta) -> None:
+        """Lets the next election come from a point in time on, spread over an election timeout."""
+        self._election_due = earliest + self.timing.election_timeout * self._rng.random()
 
     # Elections
 
