Count reserves against the window; assume that others do alike until an endpoint says its load

Reserves were granted while much was unused; others then used that up while the gateway was still heard, and when it fell silent it used its reserve too. A new leader also gave tokens as if nothing had been given in the last moment before it. Ruled out: old stocks (within half of the tolerance), the bound's rounding.

Change: tokens and reserves together stay within the window; a new leader assumes a burst just before it, and gateways may use the reserves they hold until its own accounts are a window old. Until an endpoint tells its load, a gateway with more than one request there assumes that others have some too: 12 to 15 requests waited at endpoints of 3 slots after a start.

Conclusion: the hot organisation's window is safe by counting, not by slack.

--- a/flamingotiller/fleet/bank.py
+++ b/flamingotiller/fleet/bank.py
@@ -5,8 +5,9 @@
 frozen or cut off, no more requests pass.
 
 Beside them each gateway has a reserve for the time without a leader, made of what the contract
-leaves unused; the leader keeps it free once it does not hear the gateway. A new leader does not
-know what was given before it, and counts on the most that may have been."""
+leaves unused; tokens and reserves together never exceed what a window allows. A new leader does not
+know what was given before it: it counts on the most that may have been, and until that lies a
+window back gateways keep the reserves that they have."""
 
 from __future__ import annotations
 
@@ -19,8 +20,10 @@
 
 # A gateway that is silent for so long no longer admits requests that need tokens.
 STOCK_LIFETIME = clock.seconds(4)
-# A gateway that is silent for this long may have begun to use its reserve; it waits longer.
-SILENCE = clock.seconds(0.6)
+# Part of what is unused that goes into reserves; the rest is for demand that rises.
+RESERVED_PART = 0.75
+# Stands for the reserve that a gateway has already.
+KEPT = -1
 # Length of an outage that a reserve is for, seconds; keys cannot be confirmed for longer.
 OUTAGE_S = 3.0
 # Demand may rise during an outage.
@@ -80,7 +83,8 @@
 
     Attributes:
         tokens: Tokens beside those that it has.
-        reserve: Requests that it may let pass in all while no leader answers it.
+        reserve: Requests that it may let pass in all while no leader answers it, or ``KEPT`` for
+            those it had before, which it may use now too.
     """
 
     tokens: int
@@ -118,15 +122,25 @@
         self, tolerance: Tolerance, rate: float, burst: float, now: datetime.timedelta
     ) -> None:
         self._tolerance = tolerance
-        step = tolerance.window / UNKNOWN_STEPS
-        part = tolerance.allowed(rate, burst) / UNKNOWN_STEPS
-        self._given = collections.deque(
-            (now - i * step, "", part) for i in range(UNKNOWN_STEPS, 0, -1)
-        )
+        self._opened = now
+        self._given = collections.deque(self._unknown(rate, burst))
         self._presence_by_gateway: dict[str, Presence] = {}
         self._level = 0.0
         self._level_at = now
 
+    def _unknown(self, rate: float, burst: float) -> list[tuple[datetime.timedelta, str, float]]:
+        """Returns what may have been given before: a burst just now, the rest at the usual pace."""
+        allowed = self._tolerance.allowed(rate, burst)
+        if allowed <= 0:
+            return []
+        window = self._tolerance.window * max(0.0, 1.0 - burst / allowed)
+        part = max(0.0, allowed - burst) / UNKNOWN_STEPS
+        given = [
+            (self._opened - window * (1 - i / UNKNOWN_STEPS), "", part)
+            for i in range(UNKNOWN_STEPS)
+        ]
+        return [*given, (self._opened, "", min(burst, allowed))]
+
     def draw(self, draw: Draw, rate: float, burst: float, now: datetime.timedelta) -> Grant:
         """Returns what a gateway is given; no tokens when it gives some back."""
         self._refill(rate, burst, now)
@@ -143,6 +157,8 @@
             if given:
                 self._give(draw.gateway, given, now)
         presence.stock += given
+        if now - self._opened < self._tolerance.window:
+            return Grant(given, KEPT)
         presence.reserve = self._reserve(presence, room - given)
         return Grant(given, presence.reserve)
 
@@ -172,12 +188,9 @@
         # Tokens that were given before the window could be used up together with all in it.
         old = sum(max(0, p.stock - given[n]) for n, p in self._presence_by_gateway.items())
         excess = max(0.0, old - self._tolerance.stock(rate, burst))
-        unheard = sum(
-            presence.reserve
-            for presence in self._presence_by_gateway.values()
-            if now - presence.heard_at > SILENCE
-        )
-        return self._tolerance.allowed(rate, burst) - sum(given.values()) - excess - unheard
+        # The asking gateway's own reserve has ended with its draw.
+        reserved = sum(presence.reserve for presence in self._presence_by_gateway.values())
+        return self._tolerance.allowed(rate, burst) - sum(given.values()) - excess - reserved
 
     def _reserve(self, presence: Presence, room: float) -> int:
         """Returns a gateway's part of what the contract leaves unused.
@@ -190,7 +203,8 @@
         if total <= 0 or room <= 0:
             return 0
         expected = (presence.demand + total / count) / 2
-        return int(min(RESERVE_FACTOR * OUTAGE_S * expected, room * expected / total))
+        part = RESERVED_PART * room * expected / total
+        return int(min(RESERVE_FACTOR * OUTAGE_S * expected, part))
 
 
 class Bank:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -48,7 +48,7 @@
 UNKNOWN_RETRY_AFTER_S = 0.5
 # Tokens come in steadily; callers beyond their organisation's rate are spread over some draws.
 OVER_RATE_RETRY_AFTER_S = (0.3, 0.9)
-# Without an answer for this long the reserve is used; the leader keeps it free from sooner on.
+# Without an answer for this long, longer than an ordinary poll takes, the reserve is used.
 RESERVE_AGE = clock.seconds(0.8)
 DRAW_TIMEOUT = clock.seconds(0.25)  # several round trips between regions
 # A stopping gateway goes on for callers that hold an older look-up's answer, then finishes.
@@ -380,7 +380,8 @@
             await self._draw(organisation.name)
             if self._quota.take_drawn(organisation.name):
                 return
-        if self.proof_age() > RESERVE_AGE and self._quota.take_reserved(organisation.name):
+        leaderless = self.proof_age() > RESERVE_AGE
+        if self._quota.take_reserved(organisation.name, leaderless=leaderless):
             return
         wait = self._rng.uniform(*OVER_RATE_RETRY_AFTER_S)
         raise _refused(429, "over-rate", retry_after_s=wait)
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -28,6 +28,9 @@
 FULL_BY_RANK = (1.2, 1.0, 0.8)
 # What others have running at an endpoint is forgotten at this pace after its last word.
 LOAD_MEMORY_S = 0.5
+# For each own request beyond the first, others are assumed to have so many at the endpoint until it
+# says how many it has; compared with none in docs/MEASUREMENTS.md.
+OTHERS_ALIKE = 1.2
 MAX_CACHED_ORDERS = 4096
 # A failing endpoint is left for this long, doubled with each further failure.
 FIRST_AVOIDANCE = clock.seconds(0.5)
@@ -87,8 +90,9 @@
 
     def occupied(self, now: datetime.timedelta) -> float:
         """Returns the estimated number of requests there."""
-        age = (now - self.load_at).total_seconds()
-        return self.in_flight + self._others * math.exp(-age / LOAD_MEMORY_S)
+        known = math.exp(-(now - self.load_at).total_seconds() / LOAD_MEMORY_S)
+        assumed = OTHERS_ALIKE * max(0, self.in_flight - 1)
+        return self.in_flight + self._others * known + assumed * (1 - known)
 
     def usable(self, now: datetime.timedelta) -> bool:
         """Returns whether the endpoint may be tried."""
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -29,11 +29,13 @@
         denied_until: When a draw may be tried again.
         reserve: Requests that may pass while no leader answers.
         spent: Those that have, since the leader was last told.
+        kept: Whether the leader is new and lets the reserve be used.
     """
 
     tokens: int = 0
     reserve: int = 0
     spent: int = 0
+    kept: bool = False
     arrivals: int = 0
     demand: float = 0.0
     denied_until: datetime.timedelta = clock.ZERO
@@ -70,10 +72,10 @@
         stock = self._stock_by_organisation.get(organisation)
         return stock is not None and now >= stock.denied_until
 
-    def take_reserved(self, organisation: str) -> bool:
-        """Returns whether a request passes while no leader answers."""
+    def take_reserved(self, organisation: str, *, leaderless: bool) -> bool:
+        """Returns whether a request passes while no leader answers, or a new one knows little."""
         stock = self._stock_by_organisation.get(organisation)
-        if stock is None or stock.reserve < 1:
+        if stock is None or stock.reserve < 1 or not (leaderless or stock.kept):
             return False
         stock.reserve -= 1
         stock.spent += 1
@@ -93,7 +95,9 @@
         """Takes what the leader has given."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
         stock.tokens += grant.tokens
-        stock.reserve = grant.reserve
+        stock.kept = grant.reserve == bank.KEPT
+        if not stock.kept:
+            stock.reserve = grant.reserve
 
     def deny(self, organisation: str, now: datetime.timedelta) -> None:
         """Notes that a draw has brought nothing."""
@@ -129,7 +133,6 @@
 
     @staticmethod
     def _as_draw(gateway: str, stock: Stock, wanted: int) -> bank.Draw:
-        # The reserve ends with the ask: the leader knows the gateway as heard from then on.
         spent, stock.spent = stock.spent, 0
         return bank.Draw(gateway, stock.tokens, wanted, round(stock.demand, 2), spent)
 
--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -61,8 +61,8 @@
             # Keys cannot be confirmed any more, so nothing passes.
             self.refused += 1
             return False
-        if not passes and age > gateway.RESERVE_AGE:
-            passes = stock.take_reserved("o")
+        if not passes:
+            passes = stock.take_reserved("o", leaderless=age > gateway.RESERVE_AGE)
         if passes:
             self.passed.append(self.now)
         else:
@@ -203,6 +203,33 @@
         fleet.check()
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_hot_organisation_stays_within_its_window_over_silences_and_new_leaders(seed):
+    """Hot organisation on lossy links: gateways are silent for a second now and then, and leaders
+    change; 5,183 requests ran where 5,181 were allowed before reserves counted against the window.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(8)
+    names = list(fleet.quota_by_gateway)
+    silent_until = dict.fromkeys(names, clock.ZERO)
+    for step in range(3000):
+        fleet.now += clock.seconds(0.005)
+        if step < 600 and step % 8:
+            continue  # calm at first, so that reserves are large
+        for _ in range(3):
+            name = rng.choice(names)
+            fleet.request(name, in_touch=fleet.now >= silent_until[name])
+        if rng.random() < 0.02:
+            silent_until[rng.choice(names)] = fleet.now + clock.seconds(1.5)
+        if rng.random() < 0.002:
+            fleet.leader = bank.Bank(TOLERANCE, fleet.now)
+        if step % 60 < 8:
+            name = names[step % 60]
+            if fleet.now >= silent_until[name]:
+                fleet.poll(name)
+        fleet.check()
+
+
 def test_hot_organisation_is_held_to_its_contract_and_gets_all_of_it():
     """Hot organisation: eight times the rate over all gateways."""
     rng = random.Random(3)
