--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -30,7 +30,7 @@
 LOAD_MEMORY_S = 0.5
 # For each own request beyond the first, others are assumed to have so many at the endpoint until it
 # says how many it has; compared with none in docs/MEASUREMENTS.md.
-OTHERS_ALIKE = 1.2
+OTHERS_ALIKE = 2.0
 MAX_CACHED_ORDERS = 4096
 # A failing endpoint is left for this long, doubled with each further failure.
 FIRST_AVOIDANCE = clock.seconds(0.5)
