--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
+import fleet_stand_ins
 import pytest
-from fleet_stand_ins import Endpoint, Site, answer, read_message, request, route
 
 from flamingotiller import clock
 from flamingotiller.fleet import gateway, model
 
+Endpoint, Site = fleet_stand_ins.Endpoint, fleet_stand_ins.Site
+answer, request, route = fleet_stand_ins.answer, fleet_stand_ins.request, fleet_stand_ins.route
+read_message = fleet_stand_ins.read_message
+
 
 def run(work):
     return asyncio.run(work)
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -55,8 +55,8 @@
     assert view.limits == model.Limits(16384, 64, 3.0, 15.0)
 
 
-def changed(path, value):
-    document = copy.deepcopy(CONFIG)
+def changed(path, value, base=CONFIG):
+    document = copy.deepcopy(base)
     target = document
     for key in path[:-1]:
         target = target[key]
@@ -158,15 +158,7 @@
         (("status", "coldRemaining"), "later"),
         (("status",), []),
     ]:
-        document = copy.deepcopy(HEARTBEAT)
-        target = document
-        for key in path[:-1]:
-            target = target[key]
-        if value is KeyError:
-            del target[path[-1]]
-        else:
-            target[path[-1]] = value
-        yield orjson.dumps(document)
+        yield orjson.dumps(changed(path, value, HEARTBEAT))
 
 
 @pytest.mark.parametrize("body", list(nonsense()))
