--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -163,7 +163,7 @@
     assert fleet.refused == 0
 
 
-@pytest.mark.parametrize("outage_s", [2.5, 3.1])
+@pytest.mark.parametrize("outage_s", [2.5, 3.1, 3.4])
 def test_requests_within_the_contract_pass_while_no_leader_answers(outage_s):
     """The core is down: gateways go on with their reserves, and stay within the contract."""
     rng = random.Random(5)
--- a/tests/test_fleet_spill.py
+++ b/tests/test_fleet_spill.py
@@ -51,6 +51,7 @@
     "regional wave": lambda s: 0.5 if 8 < s < 14 else 0.0,
     "on and off": lambda s: 0.6 if int(s / 3) % 2 else 0.05,
     "most at once": lambda s: 0.6 if s > 10 else 0.0,
+    "all at once": lambda s: 1.0 if s > 10 else 0.0,
 }
 
 
