--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,8 @@
 	$(BIN)/python -m pytest
 
 lint: env
-	$(BIN)/black --quiet --check flamingotiller tests tools
-	$(BIN)/ruff check flamingotiller tests tools
+	$(BIN)/black --quiet --check flamingotiller tests tools soak
+	$(BIN)/ruff check flamingotiller tests tools soak
 	$(BIN)/mypy
 
 measure: env
--- a/flamingotiller/clock.py
+++ b/flamingotiller/clock.py
@@ -7,6 +7,7 @@
 import time
 
 ZERO = datetime.timedelta()
+MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class Clock(abc.ABC):
--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -165,9 +165,7 @@
     headers.append((b"host", address.encode()))
     headers.append((REQUEST_ID_HEADER, work.request_id.encode()))
     headers.append((b"flamingotiller-organisation", work.organisation.encode()))
-    headers.append(
-        (DEADLINE_HEADER, b"%d" % max(1, int(left / datetime.timedelta(milliseconds=1))))
-    )
+    headers.append((DEADLINE_HEADER, b"%d" % max(1, int(left / clock.MILLISECOND))))
     if work.body_ended:
         if work.body or work.request.method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"content-length", b"%d" % len(work.body)))
--- a/flamingotiller/fleet/attendance.py
+++ b/flamingotiller/fleet/attendance.py
@@ -1,17 +1,19 @@
-"""Presence of gateways at the leader: who is there, and where."""
+"""Presence of gateways at stewards, and at the leader: who is there, and where."""
 
 from __future__ import annotations
 
 import collections.abc
 import dataclasses
 import datetime
+import hashlib
+import typing
 
 from flamingotiller import clock
 
 # Several polls of a gateway, and well within the time after which look-ups must not name it.
-PRESENCE = clock.seconds(2)
+PRESENCE = clock.seconds(3)
 # A silent gateway may still be sending for this long.
-ABSENCE = clock.seconds(4)
+ABSENCE = clock.seconds(5)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,8 +48,44 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Roll:
+    """Who is there, as the leader tells the other stewards.
+
+    Attributes:
+        version: Digest of the content.
+        present: Gateways that look-ups may name, in the order of names.
+        known: All that may be sending, lately silent ones included, in the order of names.
+    """
+
+    version: str
+    present: tuple[Gateway, ...]
+    known: tuple[Gateway, ...]
+
+    def place(self, name: str) -> Place:
+        """Returns a gateway's place; among none while it is not known yet."""
+        names = [gateway.name for gateway in self.known]
+        return Place(names.index(name), len(names)) if name in names else Place(0, 0)
+
+    def to_wire(self) -> dict[str, typing.Any]:
+        """Returns the JSON form."""
+        return dataclasses.asdict(self)
+
+    @classmethod
+    def from_wire(cls, document: dict[str, typing.Any]) -> Roll:
+        """Builds a roll from its JSON form."""
+        return cls(
+            document["version"],
+            tuple(Gateway(**gateway) for gateway in document["present"]),
+            tuple(Gateway(**gateway) for gateway in document["known"]),
+        )
+
+
+EMPTY = Roll("", (), ())
+
+
 class Attendance:
-    """Gateways known to the leader.
+    """Gateways known to the leader, or to a steward that they poll.
 
     Args:
         known: Gateways that an earlier leader knew.
@@ -57,12 +95,13 @@
     def __init__(self, known: collections.abc.Iterable[Gateway], now: datetime.timedelta) -> None:
         self._gateway_by_name = {gateway.name: gateway for gateway in known}
         self._heard_by_name = dict.fromkeys(self._gateway_by_name, now)
+        self._roll = EMPTY
 
-    def hear(self, gateway: Gateway, now: datetime.timedelta) -> None:
-        """Notes that a gateway is there."""
-        self._gateway_by_name[gateway.name] = gateway
-        self._heard_by_name[gateway.name] = now
-        self._forget(now)
+    def hear(self, gateway: Gateway, at: datetime.timedelta) -> None:
+        """Notes that a gateway was there; what was heard later through another steward counts."""
+        if at >= self._heard_by_name.get(gateway.name, at):
+            self._gateway_by_name[gateway.name] = gateway
+            self._heard_by_name[gateway.name] = at
 
     def _forget(self, now: datetime.timedelta) -> None:
         gone = [n for n, heard in self._heard_by_name.items() if now - heard > ABSENCE]
@@ -70,15 +109,22 @@
             del self._heard_by_name[name]
             del self._gateway_by_name[name]
 
-    def present(self, now: datetime.timedelta) -> list[Gateway]:
-        """Returns the gateways that look-ups may name, in the order of names."""
+    def silences(self, now: datetime.timedelta) -> list[tuple[Gateway, datetime.timedelta]]:
+        """Returns the gateways and for how long each has been silent."""
+        self._forget(now)
         return [
-            gateway
-            for name, gateway in sorted(self._gateway_by_name.items())
-            if gateway.ready and now - self._heard_by_name[name] <= PRESENCE
+            (gateway, now - self._heard_by_name[name])
+            for name, gateway in self._gateway_by_name.items()
         ]
 
-    def place(self, name: str) -> Place:
-        """Returns a gateway's place among all that may be sending."""
-        names = sorted(self._gateway_by_name)
-        return Place(names.index(name), len(names))
+    def roll(self, now: datetime.timedelta) -> Roll:
+        """Returns who is there; its version is that of the last one if nothing has changed."""
+        self._forget(now)
+        known = tuple(gateway for _, gateway in sorted(self._gateway_by_name.items()))
+        present = tuple(
+            g for g in known if g.ready and now - self._heard_by_name[g.name] <= PRESENCE
+        )
+        if (present, known) != (self._roll.present, self._roll.known):
+            content = repr((present, known)).encode()
+            self._roll = Roll(hashlib.blake2b(content, digest_size=8).hexdigest(), present, known)
+        return self._roll
--- a/flamingotiller/fleet/follower.py
+++ b/flamingotiller/fleet/follower.py
@@ -1,10 +1,14 @@
-"""Follows the leader of the log: finds it from a few seeds, polls it, and dates what it says.
+"""Follows the log's state from afar: finds a source from a few seeds, polls it, and dates what it
+says.
 
-An answer proves that the state it leads to was the newest at the moment the poll was sent."""
+Stewards follow the leader. Gateways follow any steward, the nearest that answers. An answer proves
+that the state it leads to was the newest at the moment the poll was sent, less the age that the
+source states of its own knowledge."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import collections.abc
 import datetime
 import typing
@@ -17,11 +21,13 @@
 ANSWER_TIMEOUT = HOLD + clock.seconds(0.7)
 # Pause after a round of peers that do not know the leader.
 RETRY_PAUSE = clock.seconds(0.1)
-# A peer that did not answer is asked again only after the others.
+# A peer that did not answer is asked again only after the others, doubled with each further time.
 AVOID_FOR = clock.seconds(0.6)
+LONGEST_AVOIDANCE = clock.seconds(5)
 
 Poll = collections.abc.Callable[[], dict[str, typing.Any]]
 Take = collections.abc.Callable[[dict[str, typing.Any], datetime.timedelta], None]
+Prefer = collections.abc.Callable[[str], int]
 
 
 class Follower:
@@ -32,12 +38,15 @@
         seeds: Addresses known from the settings.
         clk: Source of time.
         poll: Makes the body of the next poll.
-        take: Takes an answer and the time at which its poll was sent.
+        take: Takes an answer and the time at which what it says was the newest.
+        prefer: Returns a peer's distance; the nearest that answers is asked. Given for those that
+            follow any steward, left out for those that follow the leader.
+        lose: Told that the last poll has no answer.
 
     Attributes:
-        leader: Address of the leader as far as known.
+        leader: Address of the leader, or of the source that answers, as far as known.
         known: Addresses of control instances, learned from answers.
-        answered_at: When the last poll that was answered had been sent, None before the first.
+        answered_at: When what was last answered was the newest, None before the first answer.
     """
 
     def __init__(
@@ -47,13 +56,18 @@
         clk: clock.Clock,
         poll: Poll,
         take: Take,
+        prefer: Prefer | None = None,
+        lose: collections.abc.Callable[[], None] = lambda: None,
     ) -> None:
         self._peers = peers
         self._seeds = list(seeds)
         self._clock = clk
         self._poll = poll
         self._take = take
+        self._prefer = prefer
+        self._lose = lose
         self._avoid_until: dict[str, datetime.timedelta] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
         self._turn = 0
         self._reached = False
         self._lost_at = clk.monotonic()
@@ -81,22 +95,33 @@
         try:
             answer = await self._ask(peer)
         except errors.NotLeaderError as error:
+            self._lose()
             await self._redirect(peer, error, sent)
         except errors.FlamingotillerError as error:
+            self._lose()
             await self._fail(peer, error, sent)
         else:
-            self._note_answer(peer, answer, sent)
-            self._take(answer, sent)
+            as_of = sent - clock.seconds(answer["age_s"])
+            self._note_answer(peer, answer, as_of)
+            self._take(answer, as_of)
 
     def _next_peer(self) -> str:
         now = self._clock.monotonic()
-        if self.leader and self._avoid_until.get(self.leader, clock.ZERO) <= now:
+        if self._prefer is None and self._is_usable(self.leader, now):
             return self.leader
         peers = list(dict.fromkeys([*self.known, *self._seeds]))
-        usable = [p for p in peers if self._avoid_until.get(p, clock.ZERO) <= now] or peers
+        usable = [p for p in peers if self._is_usable(p, now)] or peers
         self._turn += 1
+        if self._prefer is not None:
+            nearest = min(self._prefer(peer) for peer in usable)
+            usable = [peer for peer in usable if self._prefer(peer) == nearest]
+            if self.leader in usable:
+                return self.leader
         return usable[self._turn % len(usable)]
 
+    def _is_usable(self, peer: str, now: datetime.timedelta) -> bool:
+        return bool(peer) and self._avoid_until.get(peer, clock.ZERO) <= now
+
     async def _ask(self, peer: str) -> dict[str, typing.Any]:
         answer = await self._peers.call(
             peer, "POST", "/v1/follow", self._poll(), timeout=ANSWER_TIMEOUT
@@ -117,7 +142,9 @@
     async def _fail(
         self, peer: str, error: errors.FlamingotillerError, sent: datetime.timedelta
     ) -> None:
-        self._avoid_until[peer] = self._clock.monotonic() + AVOID_FOR
+        span = AVOID_FOR * 2 ** min(self._failures[peer], 8)
+        self._failures[peer] += 1
+        self._avoid_until[peer] = self._clock.monotonic() + min(span, LONGEST_AVOIDANCE)
         if peer == self.leader:
             self.leader = ""
         self._note_silence(peer, error, sent)
@@ -134,10 +161,12 @@
         events.emit(events.LEADER_UNREACHED, peer=peer, error=str(error), age_s=age)
 
     def _note_answer(
-        self, peer: str, answer: dict[str, typing.Any], sent: datetime.timedelta
+        self, peer: str, answer: dict[str, typing.Any], as_of: datetime.timedelta
     ) -> None:
         self.leader = peer
-        self.answered_at = sent
+        self._failures.pop(peer, None)
+        # Another source may know less than the one before it.
+        self.answered_at = max(self.answered_at or as_of, as_of)
         self.known = list(answer.get("members", self.known))
         if not self._reached:
             self._reached = True
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -172,7 +172,7 @@
             for name, value in dispatch.forwarded_headers(job.request.headers)
             if name not in own and name != b"content-length"
         ]
-        left_ms = max(1, int(self._left() / datetime.timedelta(milliseconds=1)))
+        left_ms = max(1, int(self._left() / clock.MILLISECOND))
         headers.append((dialect.deadline_ms, b"%d" % left_ms))
         headers.append((dialect.expected_endpoint, self._endpoint.id.encode()))
         if job.organisation is not None:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -49,9 +49,9 @@
 UNKNOWN_RETRY_AFTER_S = 0.5
 # Tokens come in steadily; callers beyond their organisation's rate are spread over some draws.
 OVER_RATE_RETRY_AFTER_S = (0.3, 0.9)
-# Without an answer for this long, longer than an ordinary poll takes, the reserve is used.
-RESERVE_AGE = clock.seconds(0.8)
-DRAW_TIMEOUT = clock.seconds(0.25)  # several round trips between regions
+# With knowledge of this age, more than two ordinary polls bring, no draw is tried any more.
+RESERVE_AGE = clock.seconds(1.3)
+DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw at the leader
 # A stopping gateway goes on for callers that hold an older look-up's answer, then finishes.
 LINGER = clock.seconds(3.5)
 FINISH = clock.seconds(2)
@@ -125,10 +125,15 @@
         self._governor = spill.Governor(config.most_shift, rng.random())
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._conduct_by_id: dict[str, placement.Conduct] = {}
+        self._error_rate_by_service: dict[str, placement.ErrorRate] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
         self._peers = client.Client(self._peer_pool)
-        self._follower = follower.Follower(self._peers, config.seeds, clk, self._poll, self._take)
+        self._zone_by_steward: dict[str, str] = {}
+        self._polled: dict[str, bank.Draw] = {}
+        self._follower = follower.Follower(
+            self._peers, config.seeds, clk, self._poll, self._take, self._distance, self._lose
+        )
 
     async def start(self) -> None:
         """Listens for callers and starts to follow the leader.
@@ -184,15 +189,28 @@
             self.config.region,
             self.ready(),
         )
-        draws = self._quota.draws(self.config.name, self.clock.monotonic())
+        draws = self._polled = self._quota.draws(self.config.name, self.clock.monotonic())
         return {
             "gateway": dataclasses.asdict(gateway),
             "revision": self.revision,
             "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
         }
 
+    def _lose(self) -> None:
+        for organisation, draw in self._polled.items():
+            self._quota.lose(organisation, draw)
+        self._polled = {}
+
+    def _distance(self, steward: str) -> int:
+        """Returns how far a steward is: 0 in the own zone, 1 in the region, 2 elsewhere."""
+        zone = self._zone_by_steward.get(steward, "")
+        if zone == self.config.zone:
+            return 0
+        return 1 if self.config.region_by_zone.get(zone) == self.config.region else 2
+
     def _take(self, answer: dict[str, typing.Any], sent: datetime.timedelta) -> None:
         now = self.clock.monotonic()
+        self._zone_by_steward = answer["zones"]
         if answer["revision"] < self.revision:
             events.emit(
                 events.VERSION_REFUSED,
@@ -340,9 +358,8 @@
     ) -> forwarding.Job:
         splitter = self._splitter_by_route.setdefault(route.name, placement.Splitter())
         service = trace.service = splitter.next(route.parts)
-        limit = trace.arrived + min(
-            _deadline(request, self._dialect.deadline_ms.decode()), clock.seconds(route.timeout_s)
-        )
+        left = _deadline(request, self._dialect.deadline_ms.decode())
+        limit = trace.arrived + min(left, clock.seconds(route.timeout_s))
         object_ = self._dialect.parse_object(request.headers) if route.sticky else ""
         rank = organisation.rank if organisation is not None else route.rank
         return forwarding.Job(
@@ -372,23 +389,22 @@
         job.body, job.body_ended = b"".join(parts), job.request.body_ended
 
     async def _admit(self, job: forwarding.Job) -> None:
-        """Takes a token of the organisation, from the leader if there is none in stock."""
+        """Takes a token of the organisation, from the branch if there is none in stock."""
         organisation = job.organisation
         if organisation is None or self._quota.arrive(organisation):
             return
         now = self.clock.monotonic()
-        if self._quota.may_draw(organisation.name, now):
+        if self.proof_age() <= RESERVE_AGE and self._quota.may_draw(organisation.name, now):
             await self._draw(organisation.name)
             if self._quota.take_drawn(organisation.name):
                 return
-        leaderless = self.proof_age() > RESERVE_AGE
-        if self._quota.take_reserved(organisation.name, leaderless=leaderless):
+        if self._quota.take_reserved(organisation.name):
             return
         wait = self._rng.uniform(*OVER_RATE_RETRY_AFTER_S)
         raise _refused(429, "over-rate", retry_after_s=wait)
 
     async def _draw(self, organisation: str) -> None:
-        """Asks the leader for tokens; requests that need some meanwhile wait for one answer."""
+        """Asks the branch for tokens; requests that need some meanwhile wait for one answer."""
         task = self._draw_by_organisation.get(organisation)
         if task is None:
             task = asyncio.ensure_future(self._ask_tokens(organisation))
@@ -397,21 +413,22 @@
         await asyncio.shield(task)
 
     async def _ask_tokens(self, organisation: str) -> None:
-        leader = self._follower.leader
+        steward = self._follower.leader
         draw = self._quota.draw(self.config.name, organisation)
         body = {"organisation": organisation, "draw": dataclasses.astuple(draw)}
         grant = bank.Grant(0, 0)
         try:
-            if leader:
+            if steward:
                 answer = await self._peers.call(
-                    leader, "POST", "/v1/draw", body, timeout=DRAW_TIMEOUT
+                    steward, "POST", "/v1/draw", body, timeout=DRAW_TIMEOUT
                 )
-                document = client.raise_for_status(answer, step="draw", peer=leader)
+                document = client.raise_for_status(answer, step="draw", peer=steward)
                 grant = bank.Grant(*document["grant"])
                 self._quota.receive(organisation, grant)
         except errors.FlamingotillerError as error:
+            self._quota.lose(organisation, draw)
             events.emit(
-                events.DRAW_FAILED, organisation=organisation, peer=leader, error=str(error)
+                events.DRAW_FAILED, organisation=organisation, peer=steward, error=str(error)
             )
         if not grant.tokens:
             self._quota.deny(organisation, self.clock.monotonic())
@@ -429,18 +446,26 @@
         budget.on_first_try()
         excluded: list[str] = []
         failure: errors.FlamingotillerError | None = None
+        # An endpoint's error, passed on unless another endpoint does better.
+        held: forwarding.Answer | None = None
         while True:
             endpoint = self._choose(job, excluded)
             if endpoint is None:
+                if held is not None:
+                    return held
                 raise self._no_endpoint(job, arrival, failure)
             excluded.append(endpoint.id)
             trace.endpoint, trace.tries = endpoint.id, len(excluded)
             try:
-                return await self._try(job, arrival, reply, endpoint)
+                answer = await self._try(job, arrival, reply, endpoint)
             except (errors.TransportError, dispatch.ShedError) as error:
                 if reply.started:
                     raise
                 failure = error
+            else:
+                if not _is_error(answer):
+                    return answer
+                held = answer
             may_retry = (
                 len(excluded) < job.route.max_attempts
                 and job.body_ended
@@ -448,8 +473,11 @@
                 and self.clock.monotonic() < job.limit
                 and budget.take()
             )
-            if not may_retry:
-                raise self._no_endpoint(job, arrival, failure)
+            if may_retry:
+                continue
+            if held is not None:
+                return held
+            raise self._no_endpoint(job, arrival, failure)
 
     def _choose(
         self, job: forwarding.Job, excluded: collections.abc.Collection[str]
@@ -465,6 +493,9 @@
             chosen = self._with_room(job, homes[:1], now)
         else:
             chosen = self._with_room(job, homes, now)
+        if chosen is None and homes and not excluded and self._governor.may_leave(now):
+            spares = self._placement.spares(order, self._conduct_by_id, now)
+            chosen = self._with_room(job, spares, now)
         if chosen is not None:
             self._governor.note(chosen is not homes[0], now)
         return chosen
@@ -529,7 +560,13 @@
             conduct.in_flight -= 1
             if attempt.load is not None:
                 conduct.on_load(attempt.load, self.clock.monotonic())
-        if conduct.on_success():
+        failed = _is_error(answer)
+        error_rate = self._error_rate(job.service)
+        error_rate.note(failed)
+        if failed:
+            if conduct.on_error(self.clock.monotonic(), error_rate.usual):
+                self._note_avoided(endpoint, conduct, "errors")
+        elif conduct.on_success():
             events.emit(events.ENDPOINT_TRIED_AGAIN, endpoint=endpoint.id, service=endpoint.service)
         return answer
 
@@ -542,7 +579,6 @@
         began: datetime.timedelta,
     ) -> None:
         now = self.clock.monotonic()
-        shed = isinstance(error, dispatch.ShedError)
         load = conduct.load
         events.emit(
             events.TRY_FAILED,
@@ -551,20 +587,40 @@
             kind=type(error).__name__,
             error=error.message,
             sent_ms=self._ms_since(began),
-            left_ms=round((job.limit - now) / datetime.timedelta(milliseconds=1)),
+            left_ms=round((job.limit - now) / clock.MILLISECOND),
             load=f"{load.running}+{load.waiting}" if load else "",
             load_age_s=round((now - conduct.load_at).total_seconds(), 3) if load else "",
         )
-        if shed and not isinstance(error, forwarding.MisdirectedError):
-            return
-        conduct.on_failure(now)
-        self._governor.relax(now)
+        if isinstance(error, forwarding.MisdirectedError):
+            conduct.on_failure(now)
+            avoided = True
+        elif isinstance(error, dispatch.ShedError):
+            # A full endpoint may shed; one that has room does so for another reason.
+            has_room = load is not None and load.running + load.waiting < endpoint.slots
+            error_rate = self._error_rate(job.service)
+            error_rate.note(has_room)
+            avoided = has_room and conduct.on_error(now, error_rate.usual)
+        elif isinstance(error, errors.ExchangeTimeoutError):
+            avoided = conduct.on_timeout(now)
+        else:
+            conduct.on_failure(now)
+            avoided = True
+        if avoided:
+            self._note_avoided(endpoint, conduct, type(error).__name__)
+
+    def _error_rate(self, service: str) -> placement.ErrorRate:
+        return self._error_rate_by_service.setdefault(service, placement.ErrorRate())
+
+    def _note_avoided(
+        self, endpoint: model.Endpoint, conduct: placement.Conduct, reason: str
+    ) -> None:
+        self._governor.relax(self.clock.monotonic())
         self._endpoint_pool.forget(endpoint.address)
         events.emit(
             events.ENDPOINT_AVOIDED,
             endpoint=endpoint.id,
             service=endpoint.service,
-            reason=type(error).__name__,
+            reason=reason,
             failures=conduct.failures,
             until_s=round(conduct.avoid_until.total_seconds(), 3),
         )
@@ -631,7 +687,7 @@
         )
 
     def _ms_since(self, at: datetime.timedelta) -> float:
-        return round((self.clock.monotonic() - at) / datetime.timedelta(milliseconds=1), 1)
+        return round((self.clock.monotonic() - at) / clock.MILLISECOND, 1)
 
 
 @dataclasses.dataclass
@@ -647,6 +703,11 @@
     tries: int = 0
 
 
+def _is_error(answer: forwarding.Answer | None) -> bool:
+    """Returns whether an answer tells of an endpoint's own failure; long ones are passed on."""
+    return answer is not None and answer.status >= 500
+
+
 def _refused(
     status: int,
     code: str,
--- a/flamingotiller/fleet/log_task.py
+++ b/flamingotiller/fleet/log_task.py
@@ -161,6 +161,13 @@
             return False
         return now - confirmation.as_of < CERTAINTY * self.replica.timing.election_timeout
 
+    def confirmed_at(self) -> datetime.timedelta | None:
+        """Returns when what is applied here was last confirmed the newest; None unless leading."""
+        confirmation = self.replica.confirmation
+        if not self.leads or confirmation is None or self._applied < confirmation.index:
+            return None
+        return confirmation.as_of
+
     async def receive(
         self, sender: str, message: replica_messages.Message
     ) -> list[replica_messages.Message]:
--- a/flamingotiller/fleet/model.py
+++ b/flamingotiller/fleet/model.py
@@ -182,6 +182,7 @@
         endpoint_by_id: Endpoints that have not left.
         organisation_by_name: Contracts.
         service_by_name: Services.
+        route_by_name: Routes.
         evacuated: Availability zones that are to get no requests.
         limits: Bounds on callers.
     """
@@ -193,7 +194,7 @@
         self.service_by_name: dict[str, Service] = {}
         self.evacuated: set[str] = set()
         self.limits = Limits()
-        self._route_by_name: dict[str, Route] = {}
+        self.route_by_name: dict[str, Route] = {}
         self._routes_by_host: dict[str, list[Route]] = {}
         self._organisation_by_digest: dict[str, str] = {}
         self._ids_by_service: dict[str, set[str]] = {}
@@ -226,12 +227,12 @@
         return [self.endpoint_by_id[id_] for id_ in self._ids_by_service.get(service, ())]
 
     def _take_route(self, name: str, document: Document | None) -> None:
-        held = self._route_by_name.pop(name, None)
+        held = self.route_by_name.pop(name, None)
         if held:
             self._routes_by_host[held.host].remove(held)
         if document is None:
             return
-        route = self._route_by_name[name] = route_from(document)
+        route = self.route_by_name[name] = route_from(document)
         routes = self._routes_by_host.setdefault(route.host, [])
         routes.append(route)
         routes.sort(key=lambda r: len(r.prefix), reverse=True)
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -13,6 +13,7 @@
 import dataclasses
 import datetime
 import hashlib
+import itertools
 import math
 
 from flamingotiller import clock
@@ -22,6 +23,11 @@
 # ways compared in docs/MEASUREMENTS.md.
 HOMES = 2
 NEAR_HOMES = 1
+# Further endpoints of an object that may serve it while its own are full and these have slots to
+# spare: up to a part of their slots, by their own word of late. Where all are busy none is used.
+SPARES = 2
+SPARE_PART = 0.5
+SPARE_MEMORY = clock.seconds(2)
 # Objects that stay near, relative to the region's part of all slots.
 COMFORT = 1.0
 # Part of an endpoint's slots up to which requests are admitted, by rank; the last holds beyond.
@@ -35,6 +41,15 @@
 # A failing endpoint is left for this long, doubled with each further failure.
 FIRST_AVOIDANCE = clock.seconds(0.5)
 LONGEST_AVOIDANCE = clock.seconds(8)
+# Timeouts without an answer between them that tell of the endpoint rather than of a request.
+TIMEOUTS_IN_A_ROW = 2
+# Answers over which the part of errors is averaged, and the part from which on an endpoint is left.
+ERROR_MEMORY = 6
+MOST_ERRORS = 0.4
+# Answers of a service over which the part of errors is averaged. An endpoint is left only if its
+# part is a multiple of that: where all fail alike there is nowhere better to go.
+SERVICE_ERROR_MEMORY = 40
+MULTIPLE_OF_USUAL = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +71,8 @@
     Attributes:
         in_flight: Own requests there.
         failures: Failures since the last success.
+        timeouts: Requests that ended without an answer since the last answer.
+        errors: Part of errors among its latest answers.
         avoid_until: When it is tried again after failures.
         cold_until: When it has warmed up.
         load: What it said last, None before.
@@ -65,6 +82,8 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.failures = 0
+        self.timeouts = 0
+        self.errors = 0.0
         self.avoid_until = clock.ZERO
         self.cold_until = clock.ZERO
         self.load: Load | None = None
@@ -77,10 +96,42 @@
         self._others = max(0, load.running + load.waiting - self.in_flight)
 
     def on_success(self) -> bool:
-        """Notes an answer; returns whether the endpoint had been failing."""
-        failing = self.failures > 0
+        """Notes a good answer; returns whether it ends the endpoint's failing."""
+        self.timeouts = 0
+        self.errors -= self.errors / ERROR_MEMORY
+        if not self.failures or self.errors > MOST_ERRORS / 2:
+            return False
         self.failures = 0
-        return failing
+        return True
+
+    def on_error(self, now: datetime.timedelta, usual: float) -> bool:
+        """Notes an answer that tells of an error; returns whether the endpoint is avoided.
+
+        An endpoint that fails a part of its requests is left once that part is large; it is then
+        tried by one request at a time until its errors are few.
+
+        Args:
+            now: Monotonic time.
+            usual: Part of errors among the latest answers of its service.
+        """
+        self.timeouts = 0
+        self.errors += (1 - self.errors) / ERROR_MEMORY
+        if self.errors <= max(MOST_ERRORS, MULTIPLE_OF_USUAL * usual):
+            return False
+        self.on_failure(now)
+        return True
+
+    def on_timeout(self, now: datetime.timedelta) -> bool:
+        """Notes a request without an answer in its time; returns whether the endpoint is avoided.
+
+        A single one tells of a long request or a full endpoint: to leave that one would take its
+        objects to cold endpoints, where they run longer still.
+        """
+        self.timeouts += 1
+        if self.timeouts < TIMEOUTS_IN_A_ROW:
+            return False
+        self.on_failure(now)
+        return True
 
     def on_failure(self, now: datetime.timedelta) -> None:
         """Notes a failure that tells of the endpoint rather than of the request."""
@@ -94,6 +145,13 @@
         assumed = OTHERS_ALIKE * max(0, self.in_flight - 1)
         return self.in_flight + self._others * known + assumed * (1 - known)
 
+    def has_spare(self, slots: int, now: datetime.timedelta) -> bool:
+        """Returns whether the endpoint has said of late that much of it is idle."""
+        if self.load is None or now - self.load_at > SPARE_MEMORY:
+            return False
+        busy = max(self.load.running + self.load.waiting, self.in_flight)
+        return busy < SPARE_PART * slots
+
     def usable(self, now: datetime.timedelta) -> bool:
         """Returns whether the endpoint may be tried."""
         if now < self.avoid_until:
@@ -102,6 +160,21 @@
         return not self.failures or not self.in_flight
 
 
+class ErrorRate:
+    """Part of errors among the latest answers of a service.
+
+    Attributes:
+        usual: The part.
+    """
+
+    def __init__(self) -> None:
+        self.usual = 0.0
+
+    def note(self, failed: bool) -> None:
+        """Notes an answer."""
+        self.usual += (failed - self.usual) / SERVICE_ERROR_MEMORY
+
+
 def fraction(rank: int) -> float:
     """Returns the part of an endpoint's slots up to which a rank is admitted."""
     return FULL_BY_RANK[min(rank, len(FULL_BY_RANK) - 1)]
@@ -198,18 +271,38 @@
         now: datetime.timedelta,
     ) -> list[model.Endpoint]:
         """Returns the endpoints to try: the first of the order that serve."""
-        found: list[model.Endpoint] = []
-        serving = 0
+        serving = self._serving(order, conduct_by_id, now)
+        return [e for e in itertools.islice(serving, HOMES) if e.id not in excluded]
+
+    def spares(
+        self,
+        order: list[model.Endpoint],
+        conduct_by_id: collections.abc.Mapping[str, Conduct],
+        now: datetime.timedelta,
+    ) -> list[model.Endpoint]:
+        """Returns the endpoints after an object's own that have slots to spare.
+
+        Answers the pattern of a few overfull endpoints beside idle ones: an object whose own are
+        among them would be refused for as long as that lasts.
+        """
+        serving = self._serving(order, conduct_by_id, now)
+        return [
+            endpoint
+            for endpoint in itertools.islice(serving, HOMES, HOMES + SPARES)
+            if endpoint.id in conduct_by_id
+            and conduct_by_id[endpoint.id].has_spare(endpoint.slots, now)
+        ]
+
+    @staticmethod
+    def _serving(
+        order: list[model.Endpoint],
+        conduct_by_id: collections.abc.Mapping[str, Conduct],
+        now: datetime.timedelta,
+    ) -> collections.abc.Iterator[model.Endpoint]:
         for endpoint in order:
             conduct = conduct_by_id.get(endpoint.id)
-            if conduct is not None and not conduct.usable(now):
-                continue
-            serving += 1
-            if endpoint.id not in excluded:
-                found.append(endpoint)
-            if serving == HOMES:
-                break
-        return found
+            if conduct is None or conduct.usable(now):
+                yield endpoint
 
 
 def _score(object_: str, endpoint: model.Endpoint) -> float:
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -1,4 +1,4 @@
-"""A gateway's stocks of organisations' tokens, drawn from the leader by demand."""
+"""A gateway's stocks of organisations' tokens, drawn from a steward's branch by demand."""
 
 from __future__ import annotations
 
@@ -10,12 +10,13 @@
 
 # Demand is averaged over about this time.
 DEMAND_MEMORY_S = 1.0
-# A stock lasts for about this time: two polls, the second of which may be late.
-STOCK_S = 1.0
-# Demand below which nothing is kept in stock, requests per second.
-LEAST_DEMAND = 0.2
-# After a refused draw none is tried again for this long; the leader's bucket fills meanwhile.
-DENIAL = clock.seconds(0.15)
+# A stock lasts for about this time, a poll; demand that is less than a request in it keeps none,
+# since the branch is near and many small stocks would strand more than a contract allows.
+STOCK_S = 0.4
+# Demand that is not worth telling; one request is forgotten after some seconds.
+NO_DEMAND = 0.01
+# After a refused draw none is tried again for this long; the branch draws meanwhile.
+DENIAL = clock.seconds(0.1)
 
 
 @dataclasses.dataclass
@@ -27,15 +28,13 @@
         arrivals: Requests since the demand was last measured.
         demand: Requests per second of late.
         denied_until: When a draw may be tried again.
-        reserve: Requests that may pass while no leader answers.
+        reserve: Requests that may pass when no token is to be had.
         spent: Those that have, since the leader was last told.
-        kept: Whether the leader is new and lets the reserve be used.
     """
 
     tokens: int = 0
     reserve: int = 0
     spent: int = 0
-    kept: bool = False
     arrivals: int = 0
     demand: float = 0.0
     denied_until: datetime.timedelta = clock.ZERO
@@ -68,14 +67,14 @@
         return True
 
     def may_draw(self, organisation: str, now: datetime.timedelta) -> bool:
-        """Returns whether it makes sense to ask the leader for tokens now."""
+        """Returns whether it makes sense to ask for tokens now."""
         stock = self._stock_by_organisation.get(organisation)
         return stock is not None and now >= stock.denied_until
 
-    def take_reserved(self, organisation: str, *, leaderless: bool) -> bool:
-        """Returns whether a request passes while no leader answers, or a new one knows little."""
+    def take_reserved(self, organisation: str) -> bool:
+        """Returns whether a request passes that a draw has brought nothing for, or could not."""
         stock = self._stock_by_organisation.get(organisation)
-        if stock is None or stock.reserve < 1 or not (leaderless or stock.kept):
+        if stock is None or stock.reserve < 1:
             return False
         stock.reserve -= 1
         stock.spent += 1
@@ -92,13 +91,17 @@
             stock.tokens += 1
 
     def receive(self, organisation: str, grant: bank.Grant) -> None:
-        """Takes what the leader has given."""
+        """Takes what the branch has given."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
         stock.tokens += grant.tokens
-        stock.kept = grant.reserve == bank.KEPT
-        if not stock.kept:
+        if grant.reserve != bank.KEPT:
             stock.reserve = grant.reserve
 
+    def lose(self, organisation: str, draw: bank.Draw) -> None:
+        """Notes that a draw has no answer: what it told of the reserve is told again."""
+        stock = self._stock_by_organisation.setdefault(organisation, Stock())
+        stock.spent += draw.spent
+
     def deny(self, organisation: str, now: datetime.timedelta) -> None:
         """Notes that a draw has brought nothing."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
@@ -111,7 +114,8 @@
         return self._as_draw(gateway, stock, wanted)
 
     def draws(self, gateway: str, now: datetime.timedelta) -> dict[str, bank.Draw]:
-        """Measures demand and returns what to ask for with a poll, by organisation.
+        """Measures demand and returns what to ask for with a poll, by organisation; those with
+        nothing to tell are left out.
 
         Tokens that are given back are no longer in stock, whether the poll arrives or not.
         """
@@ -122,9 +126,12 @@
         for name, stock in self._stock_by_organisation.items():
             stock.demand = keep * stock.demand + (1 - keep) * stock.arrivals / elapsed
             stock.arrivals = 0
+            if stock.demand < NO_DEMAND and not (stock.tokens or stock.reserve or stock.spent):
+                stock.demand = 0.0
+                continue
             target = self._target(stock)
             wanted = target - stock.tokens
-            if wanted < 0 and stock.tokens <= 2 * target + 1:
+            if -2 <= wanted < 0:
                 wanted = 0
             if wanted < 0:
                 stock.tokens += wanted
@@ -138,6 +145,4 @@
 
     @staticmethod
     def _target(stock: Stock) -> int:
-        if stock.demand < LEAST_DEMAND:
-            return 0
-        return 2 + round(stock.demand * STOCK_S)
+        return int(stock.demand * STOCK_S)
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import datetime
@@ -27,6 +28,7 @@
 from flamingotiller.fleet import (
     attendance,
     bank,
+    branch,
     follower,
     log_task,
     model,
@@ -41,6 +43,16 @@
 DECISION_TIMEOUT = clock.seconds(0.9)
 FORWARD_TIMEOUT = clock.seconds(0.95)
 UPKEEP_INTERVAL = clock.seconds(0.25)
+# Changes that follow one another this closely reach gateways with one answer; a small part of the
+# time in which drains and configurations have to be in force.
+GATHERING = clock.seconds(0.05)
+# The leader holds a steward's poll so long; what gateways know is older by up to that.
+STEWARD_HOLD = clock.seconds(0.1)
+# A steward whose knowledge is older sends gateways elsewhere.
+LONGEST_AGE = clock.seconds(1)
+# Accounts are handed to each steward this often, for the case that it becomes the leader.
+HANDOVER_INTERVAL = clock.seconds(0.4)
+DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
 # A new leader's list of gateways is taken over only once they had time to find it.
 SETTLING = clock.seconds(1.5)
 
@@ -61,6 +73,8 @@
         report_interval: Time between the reports of an endpoint.
         region_by_zone: Every availability zone.
         tolerance: By how much organisations' rates may be exceeded.
+        bind_host: IP number to listen on for peers; ``host`` if empty. Differs where the address
+            that others use is translated on the way.
     """
 
     name: str
@@ -74,6 +88,7 @@
     report_interval: datetime.timedelta
     region_by_zone: dict[str, str]
     tolerance: bank.Tolerance
+    bind_host: str = ""
 
     @property
     def address(self) -> str:
@@ -121,7 +136,17 @@
         self._client = client.Client(self._pool)
         self._server = server.Server(self._serve_peer, on_fault=_note_fault)
         self._changed = asyncio.Event()
-        self._present: list[attendance.Gateway] = []
+        self._roll = attendance.EMPTY
+        self._local = attendance.Attendance((), clk.monotonic())
+        self._branch = branch.Branch(f"{config.name}.{secrets.token_hex(4)}", config.tolerance)
+        self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
+        # Revisions that the leader had when polls were sent, until they are applied here.
+        self._polled: dict[str, bank.Draw] = {}
+        self._unproved: collections.deque[tuple[int, datetime.timedelta]] = collections.deque()
+        self._proved_at: datetime.timedelta | None = None
+        # What the leader has told of its accounts, and when.
+        self._handed: dict[str, bank.Handed] = {}
+        self._handed_at = clock.ZERO
         self._leading: _Leading | None = None
         self._newcomer_by_address: dict[str, roster.Newcomer] = {}
 
@@ -139,9 +164,15 @@
                 store, self, self._client, self.clock, self._rng, TIMING, self._supervisor.spawn
             )
             self._follower = follower.Follower(
-                self._client, self._other_seeds(), self.clock, self._poll, self._take_presence
+                self._client,
+                self._other_seeds(),
+                self.clock,
+                self._poll,
+                self._take_answer,
+                lose=self._lose_answer,
             )
-            await self._server.start(self.config.host, self.config.peer_port)
+            bind_host = self.config.bind_host or self.config.host
+            await self._server.start(bind_host, self.config.peer_port)
             stack.push_async_callback(self._supervisor.close)
             stack.push_async_callback(self._server.close)
             self.log.start()
@@ -178,6 +209,7 @@
 
     def committed(self) -> None:
         """Wakes the polls that wait for a change."""
+        self._prove()
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -186,24 +218,64 @@
     async def _follow(self) -> None:
         while True:
             if self.log.leads:
-                await asyncio.sleep(UPKEEP_INTERVAL.total_seconds())
+                self._lead_branch()
+                await asyncio.sleep(STEWARD_HOLD.total_seconds())
                 continue
             await self._follower.step()
 
     def _poll(self) -> dict[str, typing.Any]:
+        now = self.clock.monotonic()
+        draws = self._branch.draws(now)
+        self._polled = draws
         return {
             "name": self.config.name,
             "zone": self.config.zone,
             "identity": self.log.replica.identity,
             "address": self.config.address,
+            "gateways": [
+                [dataclasses.asdict(gateway), silence.total_seconds()]
+                for gateway, silence in self._local.silences(now)
+            ],
+            "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
+            "roll": self._roll.version,
+            "accounts_age_s": (now - self._handed_at).total_seconds(),
         }
 
-    def _take_presence(self, answer: dict[str, typing.Any], sent: datetime.timedelta) -> None:
-        self._note_present([attendance.Gateway(**g) for g in answer["present"]])
-
-    def _note_present(self, present: list[attendance.Gateway]) -> None:
-        before, after = {g.name for g in self._present}, {g.name for g in present}
-        self._present = present
+    def _take_answer(self, answer: dict[str, typing.Any], sent: datetime.timedelta) -> None:
+        now = self.clock.monotonic()
+        if answer["roll"] is not None:
+            self._note_roll(attendance.Roll.from_wire(answer["roll"]))
+        if answer["accounts"] is not None:
+            self._handed, self._handed_at = answer["accounts"], now
+        for organisation in self._polled:
+            ledger = self._branch.ledger(organisation)
+            ledger.receive(bank.Grant(*answer["grants"][organisation]), now)
+        self._polled = {}
+        self._unproved.append((answer["revision"], sent))
+        self._prove()
+
+    def _lose_answer(self) -> None:
+        for organisation, draw in self._polled.items():
+            self._branch.ledger(organisation).lose(draw)
+        self._polled = {}
+
+    def _prove(self) -> None:
+        """Dates the state by the polls whose revisions are applied by now."""
+        while self._unproved and self._unproved[0][0] <= self.state.table.revision:
+            self._proved_at = self._unproved.popleft()[1]
+
+    def _age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns for how long the state may not have been the newest."""
+        proved_at = self._proved_at
+        confirmed_at = self.log.confirmed_at()
+        if confirmed_at is not None:
+            proved_at = max(proved_at or confirmed_at, confirmed_at)
+        return now - proved_at if proved_at is not None else datetime.timedelta(days=1)
+
+    def _note_roll(self, roll: attendance.Roll) -> None:
+        before = {g.name for g in self._roll.present}
+        after = {g.name for g in roll.present}
+        self._roll = roll
         if before != after:
             events.emit(
                 events.PRESENCE_CHANGED,
@@ -222,8 +294,8 @@
             leading = self._as_leader(now)
             if leading is None:
                 continue
-            if now - leading.since >= SETTLING or not self._present:
-                self._note_present(leading.attendance.present(now))
+            if now - leading.since >= SETTLING or not self._roll.present:
+                self._note_roll(leading.attendance.roll(now))
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
                 await self._drop_silent(leading, now)
                 await self._adjust_members(now)
@@ -236,9 +308,9 @@
             since = self.log.leading_since or now
             self._leading = _Leading(
                 since,
-                attendance.Attendance(self._present, now),
+                attendance.Attendance(self._roll.known, now),
                 registry.Registry(self.config.report_interval, now),
-                bank.Bank(self.config.tolerance, since),
+                bank.Bank(self.config.tolerance, since, self._handed, self._handed_at),
             )
         return self._leading
 
@@ -325,78 +397,163 @@
         return await _OPERATIONS[body["operation"]](self, body["arguments"])
 
     async def _on_follow(self, body: typing.Any) -> typing.Any:
-        now = self.clock.monotonic()
+        return await (self._follow_leader if "identity" in body else self._follow_near)(body)
+
+    async def _follow_leader(self, body: typing.Any) -> typing.Any:
+        """Answers another steward: what its state has to reach, tokens, and who is present."""
         leading = self._require_leading()
-        if "identity" in body:
-            # The latest to ask from an address counts: an earlier one has lost its disk.
-            self._newcomer_by_address[body["address"]] = roster.Newcomer(
-                body["identity"], body["address"], body["zone"], now
-            )
-            await self._hold(0)
-            await asyncio.sleep(follower.HOLD.total_seconds())
-            return {
-                "members": self._member_addresses(),
-                "revision": self.state.table.revision,
-                "present": [dataclasses.asdict(g) for g in self._present],
-            }
-        gateway = attendance.Gateway(**body["gateway"])
-        leading.attendance.hear(gateway, now)
-        await self._hold(body["revision"])
-        return self._answer_gateway(leading, body, gateway)
+        # The latest to ask from an address counts: an earlier one has lost its disk.
+        self._newcomer_by_address[body["address"]] = roster.Newcomer(
+            body["identity"], body["address"], body["zone"], self.clock.monotonic()
+        )
+        await self.log.confirm(DECISION_TIMEOUT)
+        await asyncio.sleep(STEWARD_HOLD.total_seconds())
+        now = self.clock.monotonic()
+        for document, silence_s in body["gateways"]:
+            leading.attendance.hear(attendance.Gateway(**document), now - clock.seconds(silence_s))
+        certain = self.log.certain(now)
+        stale = body["accounts_age_s"] > HANDOVER_INTERVAL.total_seconds()
+        grants = {
+            organisation: self._give(leading, organisation, bank.Draw(*draw), certain)
+            for organisation, draw in body["draws"].items()
+        }
+        return {
+            "age_s": 0.0,
+            "members": self._member_addresses(),
+            "revision": self.state.table.revision,
+            "roll": self._roll.to_wire() if body["roll"] != self._roll.version else None,
+            "grants": {name: dataclasses.astuple(grant) for name, grant in grants.items()},
+            "accounts": leading.bank.hand_over(now) if stale else None,
+        }
 
-    def _answer_gateway(
-        self, leading: _Leading, body: typing.Any, gateway: attendance.Gateway
-    ) -> dict[str, typing.Any]:
+    async def _follow_near(self, body: typing.Any) -> typing.Any:
+        """Answers a gateway: what has changed, its tokens, and its place among the others."""
+        gateway = attendance.Gateway(**body["gateway"])
+        self._local.hear(gateway, self.clock.monotonic())
+        self._require_age(LONGEST_AGE)
+        if body["revision"] and self.state.table.revision == body["revision"]:
+            changed = self._changed
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(follower.HOLD.total_seconds()):
+                    await changed.wait()
+                    await asyncio.sleep(GATHERING.total_seconds())
         now = self.clock.monotonic()
-        leading.attendance.hear(gateway, now)
+        self._local.hear(gateway, now)
+        self._require_age(LONGEST_AGE)
         grants = {
-            organisation: dataclasses.astuple(self._give(leading, organisation, bank.Draw(*draw)))
+            organisation: dataclasses.astuple(
+                self._branch.ledger(organisation).give(bank.Draw(*draw), now)
+            )
             for organisation, draw in body["draws"].items()
         }
         delta = self.state.table.since(body["revision"])
         return {
+            "age_s": self._age(now).total_seconds(),
             "members": self._member_addresses(),
+            "zones": self._zone_by_address(),
             "grants": grants,
-            "place": dataclasses.asdict(leading.attendance.place(gateway.name)),
+            "place": dataclasses.asdict(self._roll.place(gateway.name)),
             "revision": delta.revision,
             "full": delta.full,
             "items": delta.items,
         }
 
-    def _give(self, leading: _Leading, organisation: str, draw: bank.Draw) -> bank.Grant:
-        """Returns what a gateway is given of an organisation's tokens."""
+    def _require_age(self, longest: datetime.timedelta) -> None:
+        if self._age(self.clock.monotonic()) > longest:
+            raise errors.UnavailableError("state is not known to be the newest", step="follow")
+
+    def _zone_by_address(self) -> dict[str, str]:
+        members = self.log.replica.members
+        addresses = {**members.voters, **members.learners}
+        zones = self.state.zone_by_identity
+        return {address: zones.get(identity, "") for identity, address in addresses.items()}
+
+    def _give(
+        self, leading: _Leading, organisation: str, draw: bank.Draw, certain: bool
+    ) -> bank.Grant:
+        """Returns what a branch is given of an organisation's tokens; none while another steward
+        may have become the leader."""
         document = self.state.table.item_by_subject.get(f"organisation/{organisation}")
         if document is None or not document["rate"]:
             return bank.Grant(0, 0)
+        if not certain:
+            return bank.Grant(0, bank.KEPT)
         return leading.bank.draw(
             organisation, draw, document["rate"], document["burst"], self.clock.monotonic()
         )
 
+    # The branch
+
+    def _lead_branch(self) -> None:
+        """Draws for the own branch while this steward leads."""
+        leading = self._as_leader(self.clock.monotonic())
+        now = self.clock.monotonic()
+        if leading is None:
+            return
+        for gateway, silence in self._local.silences(now):
+            leading.attendance.hear(gateway, now - silence)
+        certain = self.log.certain(now)
+        for organisation, draw in self._branch.draws(now).items():
+            grant = self._give(leading, organisation, draw, certain)
+            self._branch.ledger(organisation).receive(grant, now)
+
     async def _on_draw(self, body: typing.Any) -> typing.Any:
-        """Gives tokens between polls; only while no other steward can have become the leader."""
+        """Gives a gateway tokens between polls, from the leader if there are none in stock."""
+        self._require_age(bank.BRANCH_USE)
+        organisation, draw = body["organisation"], bank.Draw(*body["draw"])
+        ledger = self._branch.ledger(organisation)
+        grant = ledger.give(draw, self.clock.monotonic())
+        if not grant.tokens and draw.wanted > 0 and self.clock.monotonic() >= ledger.denied_until:
+            await self._draw_at_leader(organisation, draw.wanted)
+            grant = ledger.give(dataclasses.replace(draw, spent=0), self.clock.monotonic())
+        return {"grant": dataclasses.astuple(grant)}
+
+    async def _draw_at_leader(self, organisation: str, least: int) -> None:
+        """Asks for tokens; requests that need some meanwhile wait for one answer."""
+        task = self._draw_by_organisation.get(organisation)
+        if task is None:
+            task = asyncio.ensure_future(self._ask_leader(organisation, least))
+            self._draw_by_organisation[organisation] = task
+            task.add_done_callback(lambda _: self._draw_by_organisation.pop(organisation, None))
+        await asyncio.shield(task)
+
+    async def _ask_leader(self, organisation: str, least: int) -> None:
+        ledger = self._branch.ledger(organisation)
+        draw = self._branch.draw(organisation, self.clock.monotonic(), least)
+        leader = self._leader_address()
+        try:
+            if self.log.leads:
+                document = await self._on_branch_draw(
+                    {"organisation": organisation, "draw": dataclasses.astuple(draw)}
+                )
+            else:
+                answer = await self._client.call(
+                    leader, "POST", "/v1/branch-draw",
+                    {"organisation": organisation, "draw": dataclasses.astuple(draw)},
+                    timeout=DRAW_TIMEOUT,
+                )  # fmt: skip
+                document = client.raise_for_status(answer, step="draw", peer=leader)
+        except errors.FlamingotillerError as error:
+            ledger.lose(draw)
+            ledger.denied_until = self.clock.monotonic() + branch.DENIAL
+            events.emit(
+                events.DRAW_FAILED, organisation=organisation, peer=leader, error=str(error)
+            )
+            return
+        ledger.receive(bank.Grant(*document["grant"]), self.clock.monotonic())
+
+    async def _on_branch_draw(self, body: typing.Any) -> typing.Any:
+        """Gives a branch tokens between polls; only while no other steward can lead."""
         leading = self._require_leading()
         if not self.log.certain(self.clock.monotonic()):
             raise errors.UnavailableError("not certain to lead", step="draw")
-        grant = self._give(leading, body["organisation"], bank.Draw(*body["draw"]))
+        grant = self._give(leading, body["organisation"], bank.Draw(*body["draw"]), True)
         return {"grant": dataclasses.astuple(grant)}
 
     def _member_addresses(self) -> list[str]:
         members = self.log.replica.members
         return [*members.voters.values(), *members.learners.values()]
 
-    async def _hold(self, revision: int) -> None:
-        """Waits until a majority confirms the state as of now, and for a change for a while.
-
-        Raises:
-            errors.FlamingotillerError: This steward does not lead, or not for certain.
-        """
-        changed = self._changed
-        await self.log.confirm(DECISION_TIMEOUT)
-        if revision and self.state.table.revision == revision:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(follower.HOLD.total_seconds()):
-                    await changed.wait()
-
     # What operators, endpoints and look-ups ask
 
     async def _execute(self, operation: str, arguments: typing.Any) -> typing.Any:
@@ -534,7 +691,7 @@
     def locate(self, region: str, zone: str) -> list[str]:
         """Returns addresses of gateways for callers of a zone: its own, else its region's, else
         any that is ready; empty when none is known."""
-        gateways = [g for g in self._present if g.ready]
+        gateways = [g for g in self._roll.present if g.ready]
         in_region = [g for g in gateways if g.region == region]
         return [g.address for g in in_region or gateways]
 
@@ -558,6 +715,7 @@
     "POST /v1/execute": Steward._on_execute,
     "POST /v1/follow": Steward._on_follow,
     "POST /v1/draw": Steward._on_draw,
+    "POST /v1/branch-draw": Steward._on_branch_draw,
 }
 _OPERATIONS = {
     "propose": Steward._propose,
--- a/tests/fleet_stand_ins.py
+++ b/tests/fleet_stand_ins.py
@@ -65,7 +65,9 @@
         if body["revision"] == self.revision:
             await asyncio.sleep(0.02)
         answer = {
+            "age_s": 0.0,
             "members": [self.address],
+            "zones": {self.address: "t1"},
             "grants": {},
             "place": {"position": 0, "count": 1},
             "revision": self.revision,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -10,10 +10,10 @@
 import threading
 import time
 
-import proxy
 import pytest
 import test_processes
 
+from soak import proxy
 from tools import losing, processes, stopping
 
 SEATS = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1"]}
--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -2,6 +2,7 @@
 whoever restarts, is cut off or frozen; and no refusal within the contract when demand moves."""
 
 import collections
+import dataclasses
 import random
 
 import hypothesis
@@ -10,7 +11,7 @@
 import pytest
 
 from flamingotiller import clock
-from flamingotiller.fleet import bank, gateway, model, quota
+from flamingotiller.fleet import bank, branch, gateway, model, quota, steward
 
 TOLERANCE = bank.Tolerance(clock.seconds(5), overage=0.1, slack=20)
 RATE, BURST = 40.0, 40.0
@@ -25,44 +26,96 @@
 
 
 class Fleet:
-    """Gateways and leaders, and every request that has passed."""
+    """Gateways at branches of a leader's bank, and every request that has passed.
 
-    def __init__(self, gateways, leader=None):
+    A branch polls the leader before a gateway's poll when its last poll is a while ago; ``cut``
+    names branches that do not reach the leader.
+    """
+
+    def __init__(self, gateways, branches=2):
         self.now = clock.seconds(100)
-        self.leader = leader or bank.Bank(TOLERANCE, self.now - clock.seconds(100))
-        self.quota_by_gateway = {f"g{i}": quota.Quota(self.now) for i in range(gateways)}
-        self.answered_at = dict.fromkeys(self.quota_by_gateway, self.now)
-        self.heard_at = dict(self.answered_at)
+        self.leader = bank.Bank(TOLERANCE, self.now - clock.seconds(100))
+        self.branches = [branch.Branch(f"b{n}", TOLERANCE) for n in range(branches)]
+        self.proved_at = [self.now] * branches
+        self.cut = set()
+        self.handed = {}
+        names = [f"g{i}" for i in range(gateways)]
+        self.quota_by_gateway = {name: quota.Quota(self.now) for name in names}
+        self.branch_by_gateway = {name: n % branches for n, name in enumerate(names)}
+        self.answered_at = dict.fromkeys(names, self.now)
         self.passed = collections.deque()
         self.refused = 0
+        self.lives = 0
+
+    def poll_leader(self, number, lost=False):
+        """A branch's poll; a lost one has reached the leader."""
+        held = self.branches[number]
+        for org, draw in held.draws(self.now).items():
+            grant = self.leader.draw(org, draw, RATE, BURST, self.now)
+            if lost:
+                held.ledger(org).lose(draw)
+            else:
+                held.ledger(org).receive(grant, self.now)
+        if not lost:
+            self.proved_at[number] = self.now
+            self.handed[number] = self.leader.hand_over(self.now), self.now
+
+    def change_leader(self, number=None):
+        """A steward begins to lead, told of the accounts or not."""
+        handed, at = self.handed.get(number, ({}, clock.ZERO))
+        self.leader = bank.Bank(TOLERANCE, self.now, handed, at)
+
+    def restart_branch(self, number):
+        self.lives += 1
+        self.branches[number] = branch.Branch(f"b{number}.{self.lives}", TOLERANCE)
 
     def poll(self, name, lost=False):
-        self.heard_at[name] = self.now
+        number = self.branch_by_gateway[name]
+        if number not in self.cut and self.now - self.proved_at[number] >= clock.seconds(0.1):
+            self.poll_leader(number)
+        if self.now - self.proved_at[number] > steward.LONGEST_AGE:
+            return
         for org, draw in self.quota_by_gateway[name].draws(name, self.now).items():
-            self._draw(name, org, draw, lost)
+            grant = self.branches[number].ledger(org).give(draw, self.now)
+            if lost:
+                self.quota_by_gateway[name].lose(org, draw)
+            else:
+                self.quota_by_gateway[name].receive(org, grant)
         if not lost:
-            self.answered_at[name] = self.now
+            self.answered_at[name] = self.proved_at[number]
 
-    def _draw(self, name, org, draw, lost=False):
-        grant = self.leader.draw(org, draw, RATE, BURST, self.now)
-        if not lost:
-            self.quota_by_gateway[name].receive(org, grant)
+    def _draw(self, name):
+        number = self.branch_by_gateway[name]
+        if self.now - self.proved_at[number] > bank.BRANCH_USE:
+            return 0
+        stock = self.quota_by_gateway[name]
+        held = self.branches[number]
+        draw = stock.draw(name, "o")
+        grant = held.ledger("o").give(draw, self.now)
+        may_ask = number not in self.cut and self.now >= held.ledger("o").denied_until
+        if not grant.tokens and may_ask:
+            up = held.draw("o", self.now, draw.wanted)
+            held.ledger("o").receive(self.leader.draw("o", up, RATE, BURST, self.now), self.now)
+            draw = dataclasses.replace(draw, spent=0)
+            grant = held.ledger("o").give(draw, self.now)
+        stock.receive("o", grant)
         return grant.tokens
 
     def request(self, name, in_touch=True):
         stock = self.quota_by_gateway[name]
         passes = stock.arrive(organisation())
-        if not passes and in_touch and stock.may_draw("o", self.now):
-            if not self._draw(name, "o", stock.draw(name, "o")):
+        age = self.now - self.answered_at[name]
+        current = age <= gateway.RESERVE_AGE
+        if not passes and in_touch and current and stock.may_draw("o", self.now):
+            if not self._draw(name):
                 stock.deny("o", self.now)
             passes = stock.take_drawn("o")
-        age = self.now - self.answered_at[name]
         if age > LONGEST_USE:
             # Keys cannot be confirmed any more, so nothing passes.
             self.refused += 1
             return False
         if not passes:
-            passes = stock.take_reserved("o", leaderless=age > gateway.RESERVE_AGE)
+            passes = stock.take_reserved("o")
         if passes:
             self.passed.append(self.now)
         else:
@@ -107,10 +160,29 @@
     def restart(self, name):
         self.fleet.quota_by_gateway[name] = quota.Quota(self.fleet.now)
 
-    @hypothesis.stateful.rule()
-    def new_leader(self):
+    branches = st.sampled_from([0, 1])
+
+    @hypothesis.stateful.rule(number=branches, lost=st.booleans())
+    def poll_leader(self, number, lost):
+        if number not in self.fleet.cut:
+            self.fleet.poll_leader(number, lost)
+
+    @hypothesis.stateful.rule(number=branches)
+    def toggle_branch(self, number):
+        self.fleet.cut ^= {number}
+
+    @hypothesis.stateful.rule(number=branches)
+    def restart_branch(self, number):
+        self.fleet.restart_branch(number)
+
+    @hypothesis.stateful.rule(name=names, number=branches)
+    def move(self, name, number):
+        self.fleet.branch_by_gateway[name] = number
+
+    @hypothesis.stateful.rule(number=st.sampled_from([0, 1, None]))
+    def new_leader(self, number):
         # The lease of the old one has kept it from giving anything for a moment.
-        self.fleet.leader = bank.Bank(TOLERANCE, self.fleet.now)
+        self.fleet.change_leader(number)
 
     @hypothesis.stateful.invariant()
     def window_is_kept(self):
@@ -222,7 +294,7 @@
         if rng.random() < 0.02:
             silent_until[rng.choice(names)] = fleet.now + clock.seconds(1.5)
         if rng.random() < 0.002:
-            fleet.leader = bank.Bank(TOLERANCE, fleet.now)
+            fleet.change_leader(rng.choice([0, 1, None]))
         if step % 60 < 8:
             name = names[step % 60]
             if fleet.now >= silent_until[name]:
@@ -261,3 +333,54 @@
     assert not stock.arrive(organisation())
     stock.give_back("o")
     assert stock.arrive(organisation())
+
+
+def test_gateway_tells_nothing_of_organisations_that_have_gone_quiet():
+    """Many small organisations at many gateways: most pairs see a request now and then."""
+    stock = quota.Quota(clock.ZERO)
+    for number in range(80):
+        stock.arrive(model.Organisation(f"o{number}", (), 0, 5.0, 5.0, frozenset()))
+    assert len(stock.draws("g", clock.seconds(0.3))) == 80
+    now = clock.seconds(0.3)
+    for _ in range(40):
+        now += clock.seconds(0.3)
+        for name in stock.draws("g", now):
+            stock.receive(name, bank.Grant(0, 0))
+    assert stock.draws("g", now + clock.seconds(0.3)) == {}
+
+
+def test_gateway_tells_of_a_reserve_until_the_leader_has_taken_it_back():
+    stock = quota.Quota(clock.ZERO)
+    stock.arrive(organisation())
+    stock.receive("o", bank.Grant(0, 3))
+    now = clock.ZERO
+    for _ in range(60):
+        now += clock.seconds(0.3)
+        assert "o" in stock.draws("g", now)
+    stock.receive("o", bank.Grant(0, 0))
+    assert stock.draws("g", now + clock.seconds(0.3)) == {}
+
+
+def test_frozen_leader_is_replaced_and_hardly_a_request_is_refused():
+    """Frozen leader: nobody gives tokens for 1.2 s, then a steward takes over what it was told."""
+    rng = random.Random(4)
+    refused = passed = 0
+    for _ in range(5):
+        fleet = Fleet(16, branches=4)
+        names = list(fleet.quota_by_gateway)
+        for step in range(2000):
+            fleet.now += clock.seconds(0.01)
+            second = step * 0.01
+            fleet.cut = set(range(4)) if 10 <= second < 11.2 else set()
+            if step == 1120:
+                fleet.change_leader(1)
+            for _ in range(2):
+                if rng.random() < RATE * 0.62 * 0.005:
+                    found = fleet.request(rng.choice(names))
+                    refused += not found
+                    passed += found
+            if step % 30 == 0:
+                for name in names:
+                    fleet.poll(name)
+            fleet.check()
+    assert refused <= 0.01 * passed
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -148,15 +148,28 @@
     run(work())
 
 
-def test_idempotent_request_is_served_by_another_endpoint():
+@pytest.mark.parametrize("script", [reset, failure])
+def test_idempotent_request_is_served_by_another_endpoint(script):
     async def work():
-        async with Site(Endpoint("e1", script=reset), Endpoint("e2", "b1")) as site:
+        async with Site(Endpoint("e1", script=script), Endpoint("e2", "b1")) as site:
             found = await site.ask()
             assert (found.status, found.body) == (200, b"whole")
 
     run(work())
 
 
+def test_error_of_an_endpoint_is_passed_on_when_no_other_does_better():
+    """Grey endpoint: its answer is ready, so it is delivered rather than one of our own."""
+
+    async def work():
+        async with Site(Endpoint("e1", script=failure), Endpoint("e2", "b1", script=shed)) as site:
+            found = await site.ask()
+            assert (found.status, found.body) == (500, b"broken")
+            assert found.headers["x-response-seal"] == "seal"
+
+    run(work())
+
+
 def test_attempts_are_bounded_by_the_route():
     async def work():
         endpoints = [Endpoint(f"e{n}", "t1" if n % 2 else "b1", script=shed) for n in range(6)]
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -186,3 +186,85 @@
 
 def test_gateway_that_knows_no_place_sends_nothing_to_cold_endpoints():
     assert not placement.ColdGate(1.5, 5).take("e1", 22, NOW)
+
+
+def test_lone_timeout_of_a_full_endpoint_moves_nothing_and_two_in_a_row_do():
+    """Lasting overload: each timeout that moved an object to a cold endpoint made further ones."""
+    conduct = placement.Conduct()
+    for _ in range(20):
+        assert not conduct.on_timeout(NOW)
+        conduct.on_success()
+    assert conduct.usable(NOW)
+    assert not conduct.on_timeout(NOW)
+    assert conduct.on_timeout(NOW)
+    assert not conduct.usable(NOW)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_grey_endpoint_is_left_soon_and_used_again_once_its_errors_are_few(seed):
+    """Grey endpoint: 45% of its answers are errors; sound ones have one in 250."""
+    rng = random.Random(seed)
+    conduct = placement.Conduct()
+    now, sent = NOW, []
+    for _ in range(400):
+        now += clock.seconds(0.1)
+        if not conduct.usable(now):
+            continue
+        if rng.random() < (0.45 if now < NOW + clock.seconds(10) else 0.004):
+            conduct.on_error(now, 0.06)
+        else:
+            conduct.on_success()
+        sent.append((now - NOW).total_seconds())
+    assert len([at for at in sent if 2 <= at < 10]) < 0.5 * 80
+    assert len([at for at in sent if at >= 22]) > 0.95 * 180
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_sound_endpoint_is_hardly_ever_left_for_its_errors(seed):
+    """Three errors among four answers look like a grey endpoint, and may happen at a sound one."""
+    rng = random.Random(seed)
+    conduct = placement.Conduct()
+    left = 0
+    for _ in range(20_000):
+        if rng.random() < 0.004:
+            left += conduct.on_error(NOW, 0.004)
+        else:
+            conduct.on_success()
+    assert left <= 20_000 / 1000
+
+
+def test_where_all_endpoints_fail_alike_none_is_left():
+    """Grey service: every endpoint sheds 55% of its requests though it has room."""
+    rng = random.Random(1)
+    conducts = [placement.Conduct() for _ in range(12)]
+    rate = placement.ErrorRate()
+    left = 0
+    for step in range(5000):
+        conduct = rng.choice(conducts)
+        failed = rng.random() < 0.55
+        rate.note(failed)
+        if failed:
+            left += conduct.on_error(NOW, rate.usual) and step > 200
+        else:
+            conduct.on_success()
+    assert left == 0
+
+
+def test_object_of_overfull_endpoints_goes_to_one_that_says_it_is_idle():
+    """Overfull endpoints beside idle ones: objects of the first would be refused for long."""
+    chooser = placement.Placement("thrace", REGION_BY_ZONE)
+    order = chooser.order(view(*FLEET), "search", "17", frozenset())
+    conducts = {e.id: placement.Conduct() for e in FLEET}
+    # What says nothing, or something long ago, counts as busy.
+    assert chooser.spares(order, conducts, NOW) == []
+    idle = order[placement.HOMES]
+    conducts[idle.id].on_load(placement.Load(1, 0), NOW)
+    assert chooser.spares(order, conducts, NOW) == [idle]
+    assert chooser.spares(order, conducts, NOW + clock.seconds(3)) == []
+    conducts[idle.id].on_load(placement.Load(3, 0), NOW)
+    assert chooser.spares(order, conducts, NOW) == []
+    # The farther ones of the order stay as they are: few endpoints hold an object.
+    for endpoint in FLEET:
+        conducts[endpoint.id].on_load(placement.Load(0, 0), NOW)
+    expected = order[placement.HOMES : placement.HOMES + placement.SPARES]
+    assert chooser.spares(order, conducts, NOW) == expected
--- a/tests/test_fleet_roster.py
+++ b/tests/test_fleet_roster.py
@@ -118,13 +118,31 @@
     present = attendance.Attendance([gateway("old")], NOW)
     present.hear(gateway("g1"), NOW)
     present.hear(gateway("g2", ready=False), NOW)
-    assert [g.name for g in present.present(NOW)] == ["g1", "old"]
-    assert present.place("g2") == attendance.Place(1, 3)
-    later = NOW + clock.seconds(2.5)
+    first = present.roll(NOW)
+    assert [g.name for g in first.present] == ["g1", "old"]
+    assert first.place("g2") == attendance.Place(1, 3)
+    assert present.roll(NOW) is first
+    later = NOW + attendance.PRESENCE + clock.seconds(0.1)
     present.hear(gateway("g1"), later)
-    assert [g.name for g in present.present(later)] == ["g1"]
+    second = present.roll(later)
+    assert [g.name for g in second.present] == ["g1"]
+    assert second.version != first.version
     # A silent one may still be sending, so it counts for a while.
-    assert present.place("g1").count == 3
-    last = NOW + clock.seconds(7)
+    assert second.place("g1").count == 3
+    last = NOW + attendance.ABSENCE + clock.seconds(0.1)
     present.hear(gateway("g1"), last)
-    assert present.place("g1").count == 1
+    assert present.roll(last).place("g1").count == 1
+    assert present.roll(last).place("never heard of") == attendance.Place(0, 0)
+
+
+def test_gateway_that_moved_to_another_steward_counts_by_its_latest_word():
+    present = attendance.Attendance([], NOW)
+    present.hear(gateway("g1", ready=False), NOW + clock.seconds(1))
+    present.hear(gateway("g1"), NOW)
+    assert present.roll(NOW + clock.seconds(1)).present == ()
+
+
+def test_roll_is_the_same_after_its_way_between_stewards():
+    present = attendance.Attendance([gateway("g1"), gateway("g2", ready=False)], NOW)
+    roll = present.roll(NOW)
+    assert attendance.Roll.from_wire(roll.to_wire()) == roll
--- a/tests/test_pairs.py
+++ b/tests/test_pairs.py
@@ -8,10 +8,10 @@
 import time
 import uuid
 
-import proxy
 import pytest
 import test_processes
 
+from soak import proxy
 from tools import processes
 
 SEATS = {"a": ["a-1", "a-2", "a-3"], "b": ["b-1", "b-2", "b-3"]}
