--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -51,6 +51,8 @@
 OVER_RATE_RETRY_AFTER_S = (0.3, 0.9)
 # With knowledge of this age, more than two ordinary polls bring, no draw is tried any more.
 RESERVE_AGE = clock.seconds(1.3)
+# Draws that one request waits for: others may take what the first has brought.
+MOST_DRAWS = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw at the leader
 # A stopping gateway goes on for callers that hold an older look-up's answer, then finishes.
 LINGER = clock.seconds(3.5)
@@ -394,10 +396,13 @@
         if organisation is None or self._quota.arrive(organisation):
             return
         now = self.clock.monotonic()
-        if self.proof_age() <= RESERVE_AGE and self._quota.may_draw(organisation.name, now):
+        for _ in range(MOST_DRAWS):
+            if self.proof_age() > RESERVE_AGE or not self._quota.may_draw(organisation.name, now):
+                break
             await self._draw(organisation.name)
             if self._quota.take_drawn(organisation.name):
                 return
+            now = self.clock.monotonic()
         if self._quota.take_reserved(organisation.name):
             return
         wait = self._rng.uniform(*OVER_RATE_RETRY_AFTER_S)
@@ -410,7 +415,8 @@
             task = asyncio.ensure_future(self._ask_tokens(organisation))
             self._draw_by_organisation[organisation] = task
             task.add_done_callback(lambda _: self._draw_by_organisation.pop(organisation, None))
-        await asyncio.shield(task)
+        with self._quota.waiting(organisation):
+            await asyncio.shield(task)
 
     async def _ask_tokens(self, organisation: str) -> None:
         steward = self._follower.leader
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections.abc
+import contextlib
 import dataclasses
 import datetime
 
@@ -25,6 +27,7 @@
 
     Attributes:
         tokens: Requests that may pass.
+        waiting: Requests that wait for a draw.
         arrivals: Requests since the demand was last measured.
         demand: Requests per second of late.
         denied_until: When a draw may be tried again.
@@ -35,6 +38,7 @@
     tokens: int = 0
     reserve: int = 0
     spent: int = 0
+    waiting: int = 0
     arrivals: int = 0
     demand: float = 0.0
     denied_until: datetime.timedelta = clock.ZERO
@@ -71,6 +75,16 @@
         stock = self._stock_by_organisation.get(organisation)
         return stock is not None and now >= stock.denied_until
 
+    @contextlib.contextmanager
+    def waiting(self, organisation: str) -> collections.abc.Iterator[None]:
+        """Counts a request as waiting for a draw; the next one asks for so many tokens."""
+        stock = self._stock_by_organisation.setdefault(organisation, Stock())
+        stock.waiting += 1
+        try:
+            yield
+        finally:
+            stock.waiting -= 1
+
     def take_reserved(self, organisation: str) -> bool:
         """Returns whether a request passes that a draw has brought nothing for, or could not."""
         stock = self._stock_by_organisation.get(organisation)
@@ -110,7 +124,7 @@
     def draw(self, gateway: str, organisation: str) -> bank.Draw:
         """Returns what to ask for when the stock has run out between polls."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
-        wanted = max(1, self._target(stock) - stock.tokens)
+        wanted = max(1, stock.waiting, self._target(stock) - stock.tokens)
         return self._as_draw(gateway, stock, wanted)
 
     def draws(self, gateway: str, now: datetime.timedelta) -> dict[str, bank.Draw]:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -52,6 +52,8 @@
 LONGEST_AGE = clock.seconds(1)
 # Accounts are handed to each steward this often, for the case that it becomes the leader.
 HANDOVER_INTERVAL = clock.seconds(0.4)
+# Draws that one call waits for: other gateways may take what the first has brought.
+MOST_DRAWS = 2
 DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
 # A new leader's list of gateways is taken over only once they had time to find it.
 SETTLING = clock.seconds(1.5)
@@ -503,7 +505,10 @@
         organisation, draw = body["organisation"], bank.Draw(*body["draw"])
         ledger = self._branch.ledger(organisation)
         grant = ledger.give(draw, self.clock.monotonic())
-        if not grant.tokens and draw.wanted > 0 and self.clock.monotonic() >= ledger.denied_until:
+        for _ in range(MOST_DRAWS):
+            denied = self.clock.monotonic() < ledger.denied_until
+            if grant.tokens or draw.wanted <= 0 or denied:
+                break
             await self._draw_at_leader(organisation, draw.wanted)
             grant = ledger.give(dataclasses.replace(draw, spent=0), self.clock.monotonic())
         return {"grant": dataclasses.astuple(grant)}
--- /dev/null
+++ b/soak/parties.py
@@ -0,0 +1,241 @@
+"""The other sides of the system in a soak: endpoints that serve and report, callers, orders."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+import urllib.parse
+
+import h11
+
+from flamingotiller import client, clock, errors, server, wire
+from soak import oracle, processes
+
+CALL_TIMEOUT = clock.seconds(1)
+ORDER_PAUSE_S = 0.1
+LOOKUP_S = 1.0
+DEADLINE_MS = 2000
+COLD_PER_S = 1000.0
+
+
+class Control:
+    """Calls of operators and endpoints at any steward, sent again until one answers clearly.
+
+    Args:
+        fleet: The processes.
+        rng: Source of choices.
+    """
+
+    def __init__(self, fleet: processes.Fleet, rng: random.Random) -> None:
+        self._fleet = fleet
+        self._rng = rng
+        self.pool = client.ConnectionPool()
+        self._client = client.Client(self.pool)
+
+    async def call(
+        self, name: str, of: str = "", body: object = None, headers: tuple = (), tries: int = 400
+    ) -> client.Answer | None:
+        """Returns the first clear answer, None if there was none in so many tries."""
+        query = urllib.parse.urlencode({"call": name, "of": of})
+        for _ in range(tries):
+            steward = self._rng.choice(self._fleet.stewards)
+            with contextlib.suppress(errors.FlamingotillerError):
+                answer = await self._client.call(
+                    f"{steward.bound}:{self._fleet.control}", "POST", f"/rpc?{query}", body,
+                    timeout=CALL_TIMEOUT, headers=headers,
+                )  # fmt: skip
+                if answer.status < 500 and answer.status not in (408, 429):
+                    return answer
+            await asyncio.sleep(ORDER_PAUSE_S)
+        return None
+
+    async def lookup(self, zone: str) -> list[str]:
+        """Returns addresses of gateways, none if no steward answered."""
+        query = urllib.parse.urlencode(
+            {"name": "h.example", "region": processes.ZONES[zone], "zone": zone}
+        )
+        for steward in self._rng.sample(self._fleet.stewards, min(3, len(self._fleet.stewards))):
+            with contextlib.suppress(errors.FlamingotillerError):
+                answer = await self._client.call(
+                    f"{steward.bound}:{self._fleet.lookups}", "GET", f"/resolve?{query}",
+                    timeout=CALL_TIMEOUT,
+                )  # fmt: skip
+                if answer.status == 200:
+                    return answer.json()["addresses"]
+        return []
+
+
+class Endpoint:
+    """One lifetime of an endpoint.
+
+    Args:
+        id_: Its identity.
+        zone: Its availability zone.
+        control: Calls to stewards.
+        watch: Where runs are told.
+        rng: Source of run times and mistakes.
+    """
+
+    SLOTS = 6
+
+    def __init__(
+        self, id_: str, zone: str, control: Control, watch: oracle.Oracle, rng: random.Random
+    ) -> None:
+        self.id, self.zone = id_, zone
+        self._control, self._watch, self._rng = control, watch, rng
+        self._server = server.Server(self._serve)
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self._running = 0
+        self._reports: asyncio.Task | None = None
+        self.state = "ready"
+        self.address = ""
+        # Parts of requests whose answer is lost, and that are shed, and the factor on run times.
+        self.loses = self.sheds = 0.0
+        self.slow = 1.0
+
+    async def start(self) -> None:
+        """Listens and begins to report."""
+        port = await self._server.start("127.0.0.1", 0)
+        self.address = f"127.0.0.1:{port}"
+        self._reports = asyncio.ensure_future(self._report_always())
+
+    async def _report_always(self) -> None:
+        while True:
+            await self.report()
+            await asyncio.sleep(processes.HEARTBEAT_S)
+
+    async def report(self, tries: int = 3) -> bool:
+        """Reports once; returns whether it was acknowledged."""
+        self._sequence += 1
+        body = {
+            "address": self.address,
+            "born": self._born,
+            "info": {"service": "s", "version": "v1", "zone": self.zone, "slots": self.SLOTS},
+            "status": {"state": self.state, "sequence": self._sequence, "coldRemaining": "0ms"},
+        }
+        answer = await self._control.call("instances.heartbeat", self.id, body, tries=tries)
+        return answer is not None and answer.status == 200
+
+    async def drain(self) -> None:
+        """Leaves: reports, serves on for the drain time, departs and ends."""
+        self.state = "draining"
+        acknowledged = await self.report(tries=50)
+        if acknowledged:
+            self._watch.drained_at_by_endpoint[self.id] = time.monotonic()
+        await asyncio.sleep(oracle.DRAIN_S + 0.5)
+        await self._control.call("instances.leave", self.id, {"born": self._born}, tries=20)
+        await self.crash()
+
+    async def crash(self) -> None:
+        """Ends at once without a word."""
+        if self._reports:
+            self._reports.cancel()
+        self._server.abort()
+        await self._server.close()
+
+    async def _serve(self, request: server.Request, reply: server.Reply) -> None:
+        body = await request.read()
+        id_ = request.header("x-request-id") or ""
+        extra = [(b"x-request-id", id_.encode())]
+        if request.header("x-expect-instance") not in (None, self.id):
+            await reply.send(421, b"", extra)
+            return
+        if self._running >= 2 * self.SLOTS or self._rng.random() < self.sheds:
+            await reply.send(503, b"", [*extra, (b"x-not-executed", b"1")])
+            return
+        organisation = request.header("x-tenant-id") or ""
+        self._watch.on_run(id_, self.id, self.zone, organisation, time.monotonic())
+        if body and body != id_.encode():
+            self._watch.broken.append(f"unasked: body of {id_} has changed")
+        self._running += 1
+        try:
+            await asyncio.sleep(self.slow * self._rng.uniform(0.005, 0.06))
+        finally:
+            self._running -= 1
+        if self._rng.random() < self.loses:
+            raise ConnectionAbortedError("the answer is lost on purpose")
+        load = f"{self._running},0,{self.SLOTS}".encode()
+        extra += [(b"x-response-seal", b"seal"), (b"x-server-load", load)]
+        await reply.send(200, f"{id_} {self.id}".encode(), extra)
+
+
+class Caller:
+    """Sends requests one after the other and keeps its connections as long as they last.
+
+    Args:
+        number: Tells it from the others.
+        zone: Its availability zone.
+        control: For look-ups.
+        watch: Where requests and answers are told.
+        keys: Organisation and key, shared by all callers; keys may be withdrawn.
+        rng: Source of choices.
+    """
+
+    def __init__(
+        self, number: int, zone: str, control: Control, watch: oracle.Oracle,
+        keys: list[tuple[str, str]], rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._number, self._zone = number, zone
+        self._control, self._watch, self._keys, self._rng = control, watch, keys, rng
+        self._pool = client.ConnectionPool(CALL_TIMEOUT)
+        self._addresses: list[str] = []
+        self._looked_at = 0.0
+        self._ids = itertools.count()
+
+    async def run(self, pause_s: float) -> None:
+        """Sends requests for ever."""
+        while True:
+            if time.monotonic() - self._looked_at > LOOKUP_S:
+                self._looked_at = time.monotonic()
+                self._addresses = await self._control.lookup(self._zone) or self._addresses
+            if self._addresses:
+                await self._ask(self._rng.choice(self._addresses))
+            await asyncio.sleep(self._rng.expovariate(1 / pause_s))
+
+    async def _ask(self, address: str) -> None:
+        organisation, key = self._rng.choice(self._keys)
+        once = self._rng.random() < 0.5
+        id_ = f"{self._number:x}-{next(self._ids):x}"
+        try:
+            link, _ = await self._pool.acquire(address)
+        except errors.FlamingotillerError:
+            return
+        self._watch.on_send(id_, oracle.Sent(time.monotonic(), once, organisation, key))
+        try:
+            async with asyncio.timeout(DEADLINE_MS / 1000 + 0.5):
+                status, body = await self._exchange(link, id_, once, key)
+        except (errors.FlamingotillerError, TimeoutError):
+            self._pool.discard(address, link)
+            return
+        except BaseException:
+            self._pool.discard(address, link)
+            raise
+        self._watch.on_answer(id_, status, body)
+        self._pool.release(address, link)
+
+    async def _exchange(self, link: wire.Link, id_: str, once: bool, key: str) -> tuple[int, bytes]:
+        content = id_.encode() if once else b""
+        headers = [
+            ("Host", "h.example"), ("X-Request-Id", id_), ("X-Api-Key", key),
+            ("X-Deadline-Ms", str(DEADLINE_MS)), ("Content-Length", str(len(content))),
+            ("Cookie", f"X-Affinity-Key={self._number % 20}"),
+        ]  # fmt: skip
+        target = "/once/x" if once else "/again/x"
+        head = h11.Request(method="POST" if once else "GET", target=target, headers=headers)
+        await link.send(head, h11.Data(data=content), h11.EndOfMessage())
+        wait = clock.seconds(DEADLINE_MS / 1000 + 0.5)
+        event = await link.next_event(wait)
+        if not isinstance(event, h11.Response):
+            raise errors.ProtocolError("no answer", peer=link.peer)
+        parts = []
+        while not isinstance(part := await link.next_event(wait), h11.EndOfMessage):
+            parts.append(bytes(part.data))
+        return event.status_code, b"".join(parts)
+
+    async def close(self) -> None:
+        """Closes its connections."""
+        await self._pool.close()
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,191 @@
+"""Real programs as separate processes on loopback, with settings, logs and proxied peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import pathlib
+import resource
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+from soak import proxy
+
+ROOT = pathlib.Path(__file__).parent.parent
+BOUNDS = (
+    "drainTimeout=2500ms,gracePeriod=6s,configApply=2500ms,strictRevoke=true,revokeTimeout=5000ms,"
+    "quotaWindow=5s,quotaOverage=0.1,quotaSlack=20,coldOverage=1.5,coldSlack=5,evacuate=5000ms,"
+    "maxRegionShift=1"
+)
+ZONES = {"a1": "a", "b1": "b", "c1": "c"}
+HEARTBEAT_S = 0.5
+STOP_S = 10.0  # longer than a graceful stop takes
+
+
+@dataclasses.dataclass
+class Instance:
+    """One process and what it needs to start again.
+
+    Attributes:
+        name: Its name.
+        role: ``gateway`` or ``steward``.
+        zone: Its availability zone.
+        shown: Address that others use; a proxy listens there.
+        bound: Address that the process listens on.
+        process: The running process, None while it is down.
+        link: The proxy of its peer port.
+        paused: Whether it is stopped by a signal.
+    """
+
+    name: str
+    role: str
+    zone: str
+    shown: str
+    bound: str
+    process: subprocess.Popen | None = None
+    link: proxy.Proxy | None = None
+    paused: bool = False
+
+
+class Fleet:
+    """Processes of one run.
+
+    Args:
+        folder: For settings, data and logs.
+        stewards: Number of stewards, the first three of which are the seeds.
+        gateways: Number of gateways.
+    """
+
+    def __init__(self, folder: pathlib.Path, stewards: int, gateways: int) -> None:
+        self.folder = folder
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self._thread.start()
+        self.peer, self.callers, self.ready, self.control, self.lookups = _free_ports(5)
+        zones = list(ZONES)
+        self.instance_by_name: dict[str, Instance] = {}
+        for number in range(stewards + gateways):
+            role = "steward" if number < stewards else "gateway"
+            name = f"{role}-{number}"
+            tail = f"{number // 200}.{number % 200 + 1}"
+            self.instance_by_name[name] = Instance(
+                name, role, zones[number % len(zones)], f"127.2.{tail}", f"127.1.{tail}"
+            )
+        self.stewards = [i for i in self.instance_by_name.values() if i.role == "steward"]
+        self.gateways = [i for i in self.instance_by_name.values() if i.role == "gateway"]
+
+    def start(self) -> None:
+        """Starts everything for the first time."""
+        for steward in self.stewards:
+            steward.link = proxy.Proxy(
+                f"{steward.bound}:{self.peer}", f"{steward.shown}:{self.peer}", self.loop
+            )
+        for instance in self.instance_by_name.values():
+            self.launch(instance, first=True)
+
+    def launch(self, instance: Instance, first: bool = False) -> None:
+        """Starts a process, with the disk that it has."""
+        path = self.folder / f"{instance.name}.conf"
+        path.write_text(self._settings(instance, first))
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("FLAMINGOTILLER_")}
+        environment["FLAMINGOTILLER_NODE_FILE"] = str(path)
+        environment["FLAMINGOTILLER_BIND_HOST"] = instance.bound
+        environment["PYTHONPATH"] = str(ROOT)
+        with open(self.folder / f"{instance.name}.log", "ab") as log:
+            instance.process = subprocess.Popen(
+                [sys.executable, "-m", "flamingotiller.platform", instance.role, "0"],
+                env=environment, cwd=self.folder, stdout=log, stderr=log,
+            )  # fmt: skip
+        instance.paused = False
+
+    def _settings(self, instance: Instance, first: bool) -> str:
+        data = self.folder / instance.name
+        seeds = ",".join(f"{steward.shown}:{self.control}" for steward in self.stewards[:3])
+        lines = [
+            f"nodeName={instance.name}", f"ip={instance.shown}", f"zone={instance.zone}",
+            f"region={ZONES[instance.zone]}", f"internalPortRange={self.peer},{self.peer + 1}",
+            f"seedNodes={seeds}", f"bootstrap={'true' if first else 'false'}",
+            f"heartbeat={HEARTBEAT_S * 1000:.0f}ms", f"bounds={BOUNDS}",
+            *(f"zones.{zone}={region}" for zone, region in ZONES.items()),
+        ]  # fmt: skip
+        if instance.role == "gateway":
+            lines.append(f"listen.frontend={instance.bound}:{self.callers}")
+            lines.append(f"listen.ready={instance.bound}:{self.ready}")
+        else:
+            data.mkdir(exist_ok=True)
+            lines.append(f"listen.controlPlane={instance.bound}:{self.control}")
+            lines.append(f"listen.directory={instance.bound}:{self.lookups}")
+            lines.append(f"dataDir={data}")
+        return "\n".join(lines) + "\n"
+
+    def kill(self, instance: Instance) -> None:
+        """Kills a process and waits for its end."""
+        if instance.process:
+            instance.process.kill()
+            instance.process.wait(STOP_S)
+            instance.process = None
+
+    def wipe(self, instance: Instance) -> None:
+        """Removes the disk of a process that is down."""
+        shutil.rmtree(self.folder / instance.name)
+
+    def pause(self, instance: Instance, paused: bool) -> None:
+        """Stops a process where it stands, or lets it go on."""
+        if instance.process:
+            instance.process.send_signal(signal.SIGSTOP if paused else signal.SIGCONT)
+            instance.paused = paused
+
+    async def terminate(self, instance: Instance) -> bool:
+        """Asks a process to end; returns whether it did in time."""
+        process = instance.process
+        if process is None:
+            return True
+        process.terminate()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            await asyncio.to_thread(process.wait, STOP_S)
+        ended = process.poll() is not None
+        self.kill(instance)
+        return ended
+
+    def fill_disk(self, instance: Instance, full: bool) -> None:
+        """Makes writes of a process fail as on a full disk, or lets them work again."""
+        if instance.process and instance.process.poll() is None:
+            _, hard = resource.prlimit(instance.process.pid, resource.RLIMIT_FSIZE)
+            # Logs go to a file too; what is written beyond its present end fails as well.
+            soft = 1 if full else hard
+            resource.prlimit(instance.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
+
+    def ended_by_itself(self) -> list[str]:
+        """Returns processes that have ended though nobody ended them."""
+        return [
+            f"{i.name} ended with {i.process.returncode}"
+            for i in self.instance_by_name.values()
+            if i.process and i.process.poll() is not None
+        ]
+
+    def close(self) -> None:
+        """Ends every process and proxy."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._thread.join, STOP_S)
+            stack.callback(self.loop.call_soon_threadsafe, self.loop.stop)
+            for instance in self.instance_by_name.values():
+                stack.callback(self.kill, instance)
+                if instance.link:
+                    stack.callback(instance.link.close)
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that are free now, none of them followed by another in use."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        while len(found) < count:
+            holder = stack.enter_context(socket.socket())
+            holder.bind(("127.0.0.1", 0))
+            found.append(holder.getsockname()[1])
+        return found
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,354 @@
+"""One run of the soak: a fleet, its callers and endpoints, and a seeded series of faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import time
+
+from soak import oracle, parties, processes
+
+SETTLE_S = 1.5  # before the first fault
+CALM_S = 8.0  # after the last fault: drains, evacuations and withdrawn keys are checked in earnest
+GAP_S = (0.2, 1.2)  # between the beginnings of faults
+FAULT_S = (0.3, 3.0)
+START_S = 20.0
+RATES = {"small": (15.0, 15.0), "large": (400.0, 400.0)}
+STALE_KEY_S = 8.0  # callers go on with a withdrawn key
+QUARTER = 0.25  # part of the requests that must be served again in the end
+
+
+@dataclasses.dataclass
+class Plan:
+    """Size and length of a run.
+
+    Attributes:
+        seed: Everything that is drawn depends on it.
+        faults_s: How long faults begin.
+        stewards: Number of stewards.
+        gateways: Number of gateways.
+        callers: Number of callers.
+        endpoints: Number of endpoints.
+    """
+
+    seed: int
+    faults_s: float = 12.0
+    stewards: int = 3
+    gateways: int = 4
+    callers: int = 8
+    endpoints: int = 6
+
+
+class Run:
+    """One run.
+
+    Args:
+        plan: Its size and seed.
+        folder: For settings, data and logs.
+    """
+
+    def __init__(self, plan: Plan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.fleet = processes.Fleet(folder, plan.stewards, plan.gateways)
+        self.watch = oracle.Oracle(dict(RATES))
+        self.told: list[str] = []
+        self._rng = random.Random(plan.seed)
+        self._control = parties.Control(self.fleet, random.Random(plan.seed + 1))
+        # Keys in force, and those that callers use: withdrawn ones, too, for a while.
+        self._keys = [("small", "key-small"), ("large", "key-large")]
+        self._used_keys = list(self._keys)
+        self._version = 0
+        self._endpoints: list[parties.Endpoint] = []
+        self._endpoint_count = 0
+        self._busy: set[str] = set()
+        self._draining: set[str] = set()
+        self._began = time.monotonic()
+
+    def _tell(self, text: str) -> None:
+        self.told.append(f"{time.monotonic() - self._began:7.2f} {text}")
+
+    # What is configured
+
+    def _document(self) -> dict[str, object]:
+        def route(prefix: str, kind: str) -> dict[str, object]:
+            return {
+                "host": "h.example", "pathPrefix": prefix, "routeType": kind, "timeout": "1500ms",
+                "targetLatency": "300ms", "priority": 1, "service": "s", "maxAttempts": 2,
+                "public": False, "stickySessions": True, "allowedRegions": [],
+            }  # fmt: skip
+
+        service = {"healthPath": "/healthz", "maxConnections": 500, "coldStart": "0s"}
+        tenants = {
+            name: {
+                "apiKeys": [key for holder, key in self._keys if holder == name],
+                "priority": 1, "ratePerS": rate, "burst": burst, "allowedRegions": [],
+            }
+            for name, (rate, burst) in RATES.items()
+        }  # fmt: skip
+        routes = {
+            "once": route("/once/", "non_idempotent"), "again": route("/again/", "idempotent"),
+        }  # fmt: skip
+        return {"version": "", "routes": routes, "services": {"s": service}, "tenants": tenants}
+
+    async def _configure(self) -> None:
+        """Puts the next version in force, sent again until it is answered clearly."""
+        base, self._version = self._version, self._version + self._rng.randint(1, 3)
+        document = {**self._document(), "version": f"r{self._version}"}
+        headers = (("X-If-Version", f"r{base}"),)
+        answer = await self._control.call("config.replace", body=document, headers=headers)
+        if answer is None or answer.status != 200:
+            status = answer.status if answer else "no answer"
+            self.watch.broken.append(f"config: r{self._version} upon r{base} got {status}")
+            return
+        self.watch.on_acknowledged(self._version, time.monotonic())
+
+    async def _operate(self) -> None:
+        """Changes the configuration, withdraws a key, drains endpoints, evacuates a zone, reads."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.5, 1.5))
+            act = self._rng.choice(["change", "withdraw", "drain", "evacuate", "read", "read"])
+            if act == "change":
+                await self._configure()
+            elif act == "withdraw":
+                await self._withdraw()
+            elif act == "drain":
+                await self._replace_endpoint()
+            elif act == "evacuate":
+                await self._evacuate()
+            else:
+                await self._read()
+
+    async def _withdraw(self) -> None:
+        """Gives an organisation a new key in place of the one it has."""
+        old = self._rng.choice(self._keys)
+        new = (old[0], f"key-{old[0]}-{self._version}")
+        self._keys.remove(old)
+        self._keys.append(new)
+        await self._configure()
+        self._used_keys.append(new)
+        self.watch.revoked_at_by_key[old[1]] = time.monotonic()
+        self._tell(f"key {old[1]} withdrawn")
+        asyncio.get_running_loop().call_later(STALE_KEY_S, self._forget_key, old)
+
+    def _forget_key(self, key: tuple[str, str]) -> None:
+        self._used_keys.remove(key)
+
+    async def _evacuate(self) -> None:
+        zone = self._rng.choice(list(processes.ZONES))
+        answer = await self._control.call("evacuations.begin", zone, tries=30)
+        if answer is None or answer.status != 200:
+            return
+        self.watch.evacuated_at_by_zone[zone] = time.monotonic()
+        self._tell(f"{zone} evacuated")
+        await asyncio.sleep(self._rng.uniform(1, 8))
+        # What was sent before it is taken back may still arrive after.
+        self.watch.evacuated_at_by_zone.pop(zone)
+        await self._control.call("evacuations.finish", zone)
+
+    async def _read(self) -> None:
+        asked_at = time.monotonic()
+        answer = await self._control.call("config.read", tries=10)
+        if answer is not None and answer.status == 200:
+            self.watch.on_read(int(answer.json()["version"][1:]), asked_at)
+
+    # Endpoints
+
+    async def _add_endpoint(self) -> None:
+        number = self._endpoint_count
+        self._endpoint_count += 1
+        zone = list(processes.ZONES)[number % len(processes.ZONES)]
+        rng = random.Random(self.plan.seed * 1000 + number)
+        endpoint = parties.Endpoint(f"e-{number}", zone, self._control, self.watch, rng)
+        await endpoint.start()
+        self._endpoints.append(endpoint)
+
+    async def _replace_endpoint(self) -> None:
+        await self._add_endpoint()
+        endpoint = self._endpoints.pop(0)
+        self._tell(f"{endpoint.id} drains")
+        task = asyncio.ensure_future(endpoint.drain())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    # Faults
+
+    async def _disturb(self) -> None:
+        """Begins faults for a while; they overlap."""
+        until = time.monotonic() + self.plan.faults_s
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < until:
+                fault = self._rng.choice(_FAULTS)
+                span = self._rng.uniform(*FAULT_S)
+                group.create_task(self._inflict(fault, span))
+                await asyncio.sleep(self._rng.uniform(*GAP_S))
+
+    async def _inflict(self, fault, span: float) -> None:
+        victim = self._victim(fault)
+        if victim is None:
+            return
+        name = victim.name if isinstance(victim, processes.Instance) else victim.id
+        self._busy.add(name)
+        self.watch.note_fault(True, time.monotonic())
+        self._tell(f"{fault.__name__.strip('_')} {name} for {span:.2f} s")
+        try:
+            await fault(self, victim, span)
+        finally:
+            self._busy.discard(name)
+            self.watch.note_fault(False, time.monotonic())
+
+    def _victim(self, fault):
+        """Returns whom a fault strikes; a majority of stewards is always left whole."""
+        if fault in _OF_ENDPOINTS:
+            free = [e for e in self._endpoints if e.id not in self._busy]
+            return self._rng.choice(free) if len(free) > len(self._endpoints) // 2 else None
+        stewards = [s for s in self.fleet.stewards if s.name not in self._busy]
+        spared = len(stewards) - 1 <= len(self.fleet.stewards) // 2
+        free = [] if spared else stewards
+        if fault not in _OF_STEWARDS:
+            free = free + [g for g in self.fleet.gateways if g.name not in self._busy]
+        return self._rng.choice(free) if free else None
+
+    async def _kill(self, instance: processes.Instance, span: float) -> None:
+        self.fleet.kill(instance)
+        await asyncio.sleep(span)
+        self.fleet.launch(instance)
+
+    async def _terminate(self, instance: processes.Instance, span: float) -> None:
+        if not await self.fleet.terminate(instance):
+            self.watch.broken.append(f"stop: {instance.name} did not end")
+        await asyncio.sleep(span)
+        self.fleet.launch(instance)
+
+    async def _pause(self, instance: processes.Instance, span: float) -> None:
+        self.fleet.pause(instance, True)
+        await asyncio.sleep(span)
+        self.fleet.pause(instance, False)
+
+    async def _wipe(self, instance: processes.Instance, span: float) -> None:
+        self.fleet.kill(instance)
+        self.fleet.wipe(instance)
+        await asyncio.sleep(span)
+        self.fleet.launch(instance)
+        await asyncio.sleep(CATCH_UP_S)
+
+    async def _full_disk(self, instance: processes.Instance, span: float) -> None:
+        self.fleet.fill_disk(instance, True)
+        await asyncio.sleep(span)
+        self.fleet.fill_disk(instance, False)
+
+    async def _cut(self, instance: processes.Instance, span: float) -> None:
+        await self._trouble_link(instance, span, cut=True)
+
+    async def _silence(self, instance: processes.Instance, span: float) -> None:
+        await self._trouble_link(instance, span, silent=True)
+
+    async def _silence_answers(self, instance: processes.Instance, span: float) -> None:
+        await self._trouble_link(instance, span, silent_back=True)
+
+    async def _delay(self, instance: processes.Instance, span: float) -> None:
+        await self._trouble_link(instance, span, delay_s=self._rng.uniform(0.02, 0.3))
+
+    async def _reset(self, instance: processes.Instance, span: float) -> None:
+        instance.link.reset()
+
+    async def _trouble_link(self, instance: processes.Instance, span: float, **how) -> None:
+        instance.link.set(**how)
+        await asyncio.sleep(span)
+        instance.link.set()
+        instance.link.reset()
+
+    async def _crash_endpoint(self, endpoint: parties.Endpoint, span: float) -> None:
+        self._endpoints.remove(endpoint)
+        await endpoint.crash()
+        await asyncio.sleep(span)
+        await self._add_endpoint()
+
+    async def _lose_answers(self, endpoint: parties.Endpoint, span: float) -> None:
+        endpoint.loses = 0.3
+        await asyncio.sleep(span)
+        endpoint.loses = 0.0
+
+    async def _shed(self, endpoint: parties.Endpoint, span: float) -> None:
+        endpoint.sheds = 0.6
+        await asyncio.sleep(span)
+        endpoint.sheds = 0.0
+
+    async def _slow(self, endpoint: parties.Endpoint, span: float) -> None:
+        endpoint.slow = 30.0
+        await asyncio.sleep(span)
+        endpoint.slow = 1.0
+
+    # The whole
+
+    async def play(self) -> list[str]:
+        """Plays the run and returns the promises that were broken."""
+        self._background: set[asyncio.Task] = set()
+        self.fleet.start()
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._control.pool.close)
+            await self._configure()
+            for _ in range(self.plan.endpoints):
+                await self._add_endpoint()
+            await self._await_gateways()
+            callers = self._start_callers(stack)
+            await asyncio.sleep(SETTLE_S)
+            operator = asyncio.ensure_future(self._operate())
+            stack.callback(operator.cancel)
+            await self._disturb()
+            self._tell("faults have ended")
+            await asyncio.sleep(CALM_S)
+            operator.cancel()
+            await self._check_end(callers)
+            for task in [*self._background, *callers, operator]:
+                task.cancel()
+            await asyncio.gather(*callers, operator, *self._background, return_exceptions=True)
+            for endpoint in self._endpoints:
+                await endpoint.crash()
+        return self.watch.broken
+
+    def _start_callers(self, stack: contextlib.AsyncExitStack) -> list[asyncio.Task]:
+        tasks = []
+        for number in range(self.plan.callers):
+            zone = list(processes.ZONES)[number % len(processes.ZONES)]
+            rng = random.Random(self.plan.seed * 100 + number)
+            caller = parties.Caller(number, zone, self._control, self.watch, self._used_keys, rng)
+            stack.push_async_callback(caller.close)
+            tasks.append(asyncio.ensure_future(caller.run(0.02)))
+        return tasks
+
+    async def _await_gateways(self) -> None:
+        """Waits until look-ups name a gateway."""
+        async with asyncio.timeout(START_S):
+            while not await self._control.lookup("a1"):  # noqa: ASYNC110 - nothing to wait on
+                await asyncio.sleep(0.1)
+
+    async def _check_end(self, callers: list[asyncio.Task]) -> None:
+        now = time.monotonic()
+        asked, served = self.watch.served(now - 3, now - 0.5)
+        if served < QUARTER * asked or not asked:
+            self.watch.broken.append(f"recover: {served} of {asked} served in the end")
+        answer = await self._control.call("config.read", tries=50)
+        newest = max(version for _, version in self.watch.acknowledged)
+        if answer is None or answer.status != 200:
+            self.watch.broken.append("config: cannot be read in the end")
+        elif int(answer.json()["version"][1:]) < newest:
+            self.watch.broken.append(f"config: {answer.json()['version']} in the end, not {newest}")
+        self.watch.broken += [
+            f"caller ended: {task.exception()!r}" for task in callers if task.done()
+        ]
+        self.watch.broken += [f"ended: {text}" for text in self.fleet.ended_by_itself()]
+
+    def close(self) -> None:
+        """Ends every process."""
+        self.fleet.close()
+
+
+CATCH_UP_S = 2.0  # a wiped steward is not counted on before
+_OF_STEWARDS = [
+    Run._wipe, Run._full_disk, Run._cut, Run._silence, Run._silence_answers, Run._delay, Run._reset,
+]  # fmt: skip
+_OF_ENDPOINTS = [Run._crash_endpoint, Run._lose_answers, Run._shed, Run._slow]
+_FAULTS = [Run._kill, Run._terminate, Run._pause, *_OF_STEWARDS, *_OF_ENDPOINTS]
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -378,3 +378,19 @@
             assert found.status == (200 if served_by else 503)
 
     run(work())
+
+
+def test_first_requests_of_an_organisation_that_arrive_together_all_get_tokens():
+    """Burst after idleness: nothing is in stock, and one draw is under way for all of them."""
+    limited = model.Organisation("org", ORGANISATION.key_digests, 0, 50.0, 50.0, frozenset())
+
+    async def work():
+        endpoint = Endpoint(slots=200)
+        site = Site(endpoint, routes=[route(open=False)], organisations=[limited])
+        async with site:
+            site.leader.tokens["org"] = 40
+            asked = (site.ask(request(X_Api_Key="right", id_=f"i{n}")) for n in range(20))
+            found = await asyncio.gather(*asked)
+            assert [f.status for f in found] == [200] * 20
+
+    run(work())
