Take a branch's draws as they arrive; count what an overtaken one has used; drop stale stocks

Cause: found in review. The leader answered a steward's poll after its wait and took its draws only then, so draws of requests, sent later, overtook them: a poll's draws were ignored for organisations with a draw in between, and what they told of used reserves was lost. A gateway that was frozen for longer than its branch remembers came back with tokens that nobody counted any more. Change: draws are taken on arrival and the steward pauses between polls; an overtaken draw still counts what was used; a gateway gives up tokens and reserves once its proof of keys is too old.

--- a/flamingotiller/fleet/bank.py
+++ b/flamingotiller/fleet/bank.py
@@ -202,6 +202,9 @@
         self._refill(rate, burst, now)
         before = self._presence_by_holder.get(draw.holder)
         if draw.number and before is not None and draw.number <= before.number:
+            # Overtaken by a later one: only what was used of the reserve is news.
+            if draw.spent:
+                self._used.append((now, draw.spent))
             return Grant(0, KEPT)
         back = min(0, draw.wanted)
         used = draw.spent
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -191,6 +191,9 @@
             self.config.region,
             self.ready(),
         )
+        if self.proof_age() > self.config.revocation_bound - REVOCATION_MARGIN:
+            # Branches count on what a gateway has only for as long as it may use it.
+            self._quota.drop()
         draws = self._polled = self._quota.draws(self.config.name, self.clock.monotonic())
         return {
             "gateway": dataclasses.asdict(gateway),
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -116,6 +116,11 @@
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
         stock.spent += draw.spent
 
+    def drop(self) -> None:
+        """Gives up tokens and reserves; what was used of these is still told."""
+        for stock in self._stock_by_organisation.values():
+            stock.tokens = stock.reserve = 0
+
     def deny(self, organisation: str, now: datetime.timedelta) -> None:
         """Notes that a draw has brought nothing."""
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -46,8 +46,8 @@
 # Changes that follow one another this closely reach gateways with one answer; a small part of the
 # time in which drains and configurations have to be in force.
 GATHERING = clock.seconds(0.05)
-# The leader holds a steward's poll so long; what gateways know is older by up to that.
-STEWARD_HOLD = clock.seconds(0.1)
+# Pause between a steward's polls of the leader; what gateways know is older by up to that.
+POLL_PAUSE = clock.seconds(0.1)
 # A steward whose knowledge is older sends gateways elsewhere.
 LONGEST_AGE = clock.seconds(1)
 # Accounts are handed to each steward this often, for the case that it becomes the leader.
@@ -221,9 +221,9 @@
         while True:
             if self.log.leads:
                 self._lead_branch()
-                await asyncio.sleep(STEWARD_HOLD.total_seconds())
-                continue
-            await self._follower.step()
+            else:
+                await self._follower.step()
+            await asyncio.sleep(POLL_PAUSE.total_seconds())
 
     def _poll(self) -> dict[str, typing.Any]:
         now = self.clock.monotonic()
@@ -408,8 +408,6 @@
         self._newcomer_by_address[body["address"]] = roster.Newcomer(
             body["identity"], body["address"], body["zone"], self.clock.monotonic()
         )
-        await self.log.confirm(DECISION_TIMEOUT)
-        await asyncio.sleep(STEWARD_HOLD.total_seconds())
         now = self.clock.monotonic()
         for document, silence_s in body["gateways"]:
             leading.attendance.hear(attendance.Gateway(**document), now - clock.seconds(silence_s))
@@ -419,13 +417,16 @@
             organisation: self._give(leading, organisation, bank.Draw(*draw), certain)
             for organisation, draw in body["draws"].items()
         }
+        accounts = leading.bank.hand_over(now) if stale else None
+        # Draws are taken as they arrive, or later ones would overtake them during the wait.
+        await self.log.confirm(DECISION_TIMEOUT)
         return {
             "age_s": 0.0,
             "members": self._member_addresses(),
             "revision": self.state.table.revision,
             "roll": self._roll.to_wire() if body["roll"] != self._roll.version else None,
             "grants": {name: dataclasses.astuple(grant) for name, grant in grants.items()},
-            "accounts": leading.bank.hand_over(now) if stale else None,
+            "accounts": accounts,
         }
 
     async def _follow_near(self, body: typing.Any) -> typing.Any:
--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -70,6 +70,8 @@
         self.branches[number] = branch.Branch(f"b{number}.{self.lives}", TOLERANCE)
 
     def poll(self, name, lost=False):
+        if self.now - self.answered_at[name] > LONGEST_USE:
+            self.quota_by_gateway[name].drop()
         number = self.branch_by_gateway[name]
         if number not in self.cut and self.now - self.proved_at[number] >= clock.seconds(0.1):
             self.poll_leader(number)
@@ -167,6 +169,18 @@
         if number not in self.fleet.cut:
             self.fleet.poll_leader(number, lost)
 
+    @hypothesis.stateful.rule(number=branches, name=names)
+    def poll_is_overtaken(self, number, name):
+        """A poll's draws reach the leader after those of a request."""
+        if number in self.fleet.cut:
+            return
+        held = self.fleet.branches[number]
+        draws = held.draws(self.fleet.now)
+        self.fleet.request(name, name not in self.cut)
+        for org, draw in draws.items():
+            grant = self.fleet.leader.draw(org, draw, RATE, BURST, self.fleet.now)
+            held.ledger(org).receive(grant, self.fleet.now)
+
     @hypothesis.stateful.rule(number=branches)
     def toggle_branch(self, number):
         self.fleet.cut ^= {number}
@@ -384,3 +398,28 @@
                     fleet.poll(name)
             fleet.check()
     assert refused <= 0.01 * passed
+
+
+def test_overtaken_draw_still_tells_what_was_used_of_the_reserve():
+    account = bank.Account(TOLERANCE, RATE, BURST, clock.ZERO)
+    now = clock.seconds(100)
+    account.draw(bank.Draw("b", 0, 0, number=2), RATE, BURST, now)
+    before = account.draw(bank.Draw("c", 0, 500, number=1), RATE, BURST, now).tokens
+    assert before > 0
+    other = bank.Account(TOLERANCE, RATE, BURST, clock.ZERO)
+    other.draw(bank.Draw("b", 0, 0, number=2), RATE, BURST, now)
+    assert other.draw(bank.Draw("b", 0, 9, spent=230, number=1), RATE, BURST, now).tokens == 0
+    assert other.draw(bank.Draw("c", 0, 500, number=1), RATE, BURST, now).tokens <= 284 - 230
+
+
+def test_gateway_that_was_frozen_gives_up_what_branches_no_longer_count_on():
+    fleet = Fleet(2)
+    for _ in range(200):
+        fleet.now += clock.seconds(0.05)
+        fleet.request("g0")
+        fleet.poll("g0")
+    held = fleet.quota_by_gateway["g0"]
+    assert held.draw("g0", "o").stock > 0
+    fleet.now += clock.seconds(30)
+    fleet.poll("g0")
+    assert held.draw("g0", "o").stock <= 2
