Bound second sends over all gateways; leave silent stewards for longer; say what refused a token

Cause: found in review and by arithmetic. 122 gateways with four second sends at rest each may send 488 at once beside 0.15 of all, 823 where 751 are allowed for a service of 222 requests a second. A gateway asked its frozen nearest steward again after 0.6 s and lost a second each time. One that came from a steward ahead was sent everything again, without a wait, until the next one had caught up. Change: the reserve of second sends is divided by the gateways present (unchanged up to 24); a silent steward is left for 3 s; a poll that is ahead waits. Refusals over the rate log stock, reserve, demand.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -97,6 +97,11 @@
         """Earns a part of a second try."""
         self._left = min(self._reserve, self._left + self._fraction)
 
+    def bound(self, reserve: float) -> None:
+        """Changes what is allowed at rest."""
+        self._reserve = reserve
+        self._left = min(self._left, reserve)
+
     def take(self) -> bool:
         """Spends a second try if there is one."""
         if self._left < 1.0:
--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -153,11 +153,13 @@
 LINES_DROPPED = _define(
     1009, _WARN, "log lines were left out to bound their volume", "event_number count"
 )
-LEADER_REACHED = _define(3006, _INFO, "the leader of the log answers", "peer revision after_s")
+LEADER_REACHED = _define(
+    3006, _INFO, "the source of the fleet's state answers", "peer revision after_s"
+)
 LEADER_UNREACHED = _define(
     3007,
     _WARN,
-    "the leader of the log does not answer",
+    "the source of the fleet's state does not answer, or is not sure of it",
     "peer error age_s",
     "check the control instances and the links to them",
 )
--- a/flamingotiller/fleet/follower.py
+++ b/flamingotiller/fleet/follower.py
@@ -24,6 +24,8 @@
 # A peer that did not answer is asked again only after the others, doubled with each further time.
 AVOID_FOR = clock.seconds(0.6)
 LONGEST_AVOIDANCE = clock.seconds(5)
+# Where any steward will do, one that is silent is left for longer: each try costs a timeout.
+SILENT_AVOIDANCE = clock.seconds(3)
 
 Poll = collections.abc.Callable[[], dict[str, typing.Any]]
 Take = collections.abc.Callable[[dict[str, typing.Any], datetime.timedelta], None]
@@ -110,8 +112,10 @@
         if self._prefer is None and self._is_usable(self.leader, now):
             return self.leader
         peers = list(dict.fromkeys([*self.known, *self._seeds]))
-        usable = [p for p in peers if self._is_usable(p, now)] or peers
+        usable = [p for p in peers if self._is_usable(p, now)]
         self._turn += 1
+        if not usable:
+            return peers[self._turn % len(peers)]
         if self._prefer is not None:
             nearest = min(self._prefer(peer) for peer in usable)
             usable = [peer for peer in usable if self._prefer(peer) == nearest]
@@ -142,7 +146,9 @@
     async def _fail(
         self, peer: str, error: errors.FlamingotillerError, sent: datetime.timedelta
     ) -> None:
-        span = AVOID_FOR * 2 ** min(self._failures[peer], 8)
+        silent = isinstance(error, (errors.ExchangeTimeoutError, errors.ConnectError))
+        base = SILENT_AVOIDANCE if silent and self._prefer is not None else AVOID_FOR
+        span = base * 2 ** min(self._failures[peer], 8)
         self._failures[peer] += 1
         self._avoid_until[peer] = self._clock.monotonic() + min(span, LONGEST_AVOIDANCE)
         if peer == self.leader:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -42,7 +42,10 @@
 BUFFERED_BODY_BYTES = 256 * 1024
 # Second sends as a part of first ones; well inside the operator's bound, which counts all gateways.
 RETRY_FRACTION = 0.15
+# Second sends at rest: of one gateway at most, of all together, and at least one of each.
 RETRY_RESERVE = 4.0
+RETRY_RESERVE_OF_ALL = 96.0
+LEAST_RETRY_RESERVE = 1.0
 # A caller that is told to come back finds room after about the time of some runs; the spread keeps
 # those who were refused together from coming back together.
 RETRY_AFTER_OBJECTIVES = (0.5, 1.5)
@@ -231,6 +234,12 @@
             self._quota.receive(organisation, bank.Grant(*grant))
         place = attendance.Place(**answer["place"])
         self._cold_gate.position, self._cold_gate.count = place.position, place.count
+        for budget in self._budget_by_service.values():
+            budget.bound(self._retry_reserve())
+
+    def _retry_reserve(self) -> float:
+        part = RETRY_RESERVE_OF_ALL / max(1, self._cold_gate.count)
+        return min(RETRY_RESERVE, max(LEAST_RETRY_RESERVE, part))
 
     def _take_items(self, answer: dict[str, typing.Any], now: datetime.timedelta) -> None:
         items = answer["items"]
@@ -409,7 +418,10 @@
         if self._quota.take_reserved(organisation.name):
             return
         wait = self._rng.uniform(*OVER_RATE_RETRY_AFTER_S)
-        raise _refused(429, "over-rate", retry_after_s=wait)
+        cause = errors.LimitExceededError(
+            self._quota.describe(organisation.name), status=429, step="admit"
+        )
+        raise _refused(429, "over-rate", cause, retry_after_s=wait)
 
     async def _draw(self, organisation: str) -> None:
         """Asks the branch for tokens; requests that need some meanwhile wait for one answer."""
@@ -450,7 +462,7 @@
         trace: _Trace,
     ) -> forwarding.Answer | None:
         budget = self._budget_by_service.setdefault(
-            job.service, dispatch.RetryBudget(RETRY_FRACTION, RETRY_RESERVE)
+            job.service, dispatch.RetryBudget(RETRY_FRACTION, self._retry_reserve())
         )
         budget.on_first_try()
         excluded: list[str] = []
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -116,6 +116,11 @@
         stock = self._stock_by_organisation.setdefault(organisation, Stock())
         stock.spent += draw.spent
 
+    def describe(self, organisation: str) -> str:
+        """Returns what decides on a request of an organisation, for the log."""
+        stock = self._stock_by_organisation.get(organisation, Stock())
+        return f"stock {stock.tokens}, reserve {stock.reserve}, demand {stock.demand:.1f} a second"
+
     def drop(self) -> None:
         """Gives up tokens and reserves; what was used of these is still told."""
         for stock in self._stock_by_organisation.values():
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -52,6 +52,8 @@
 LONGEST_AGE = clock.seconds(1)
 # Accounts are handed to each steward this often, for the case that it becomes the leader.
 HANDOVER_INTERVAL = clock.seconds(0.4)
+# Polls that wait for their revision to be applied; later ones prove more.
+MOST_UNPROVED = 64
 # Draws that one call waits for: other gateways may take what the first has brought.
 MOST_DRAWS = 2
 DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
@@ -144,7 +146,9 @@
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
         # Revisions that the leader had when polls were sent, until they are applied here.
         self._polled: dict[str, bank.Draw] = {}
-        self._unproved: collections.deque[tuple[int, datetime.timedelta]] = collections.deque()
+        self._unproved: collections.deque[tuple[int, datetime.timedelta]] = collections.deque(
+            maxlen=MOST_UNPROVED
+        )
         self._proved_at: datetime.timedelta | None = None
         # What the leader has told of its accounts, and when.
         self._handed: dict[str, bank.Handed] = {}
@@ -434,7 +438,8 @@
         gateway = attendance.Gateway(**body["gateway"])
         self._local.hear(gateway, self.clock.monotonic())
         self._require_age(LONGEST_AGE)
-        if body["revision"] and self.state.table.revision == body["revision"]:
+        # A gateway that comes from another steward may know more for a moment.
+        if body["revision"] and self.state.table.revision <= body["revision"]:
             changed = self._changed
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(follower.HOLD.total_seconds()):
@@ -449,7 +454,7 @@
             )
             for organisation, draw in body["draws"].items()
         }
-        delta = self.state.table.since(body["revision"])
+        delta = self.state.table.since(min(body["revision"], self.state.table.revision))
         return {
             "age_s": self._age(now).total_seconds(),
             "members": self._member_addresses(),
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -394,3 +394,17 @@
             assert [f.status for f in found] == [200] * 20
 
     run(work())
+
+
+@pytest.mark.parametrize("count", [1, 4, 16, 24, 122, 400])
+def test_second_sends_at_rest_are_bounded_over_all_gateways(count):
+    """Many gateways: whole reserves of each, used at once, would exceed the operator's bound."""
+
+    async def work():
+        async with Site() as site:
+            site.gateway._cold_gate.count = count
+            each = site.gateway._retry_reserve()
+            assert 1 <= each <= gateway.RETRY_RESERVE
+            assert each * count <= max(gateway.RETRY_RESERVE_OF_ALL, count)
+
+    run(work())
