Count only what is owed at the end of a soak's run

The check was wrong, not the system. Change: the check takes an organisation within its rate and keys in force; the bound of a quarter stays. Ruled out: load (the shares do not depend on it).

--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -134,3 +134,14 @@
         """Returns requests of a span of time, and how many of them were answered 2xx."""
         found = [s for s in self.sent_by_id.values() if since <= s.at < until]
         return len(found), sum(200 <= s.status < 300 for s in found)
+
+    def owed(self, organisation: str, since: float, until: float) -> tuple[int, int]:
+        """Returns the same of an organisation that is within its rate, without withdrawn keys."""
+        found = [
+            s
+            for s in self.sent_by_id.values()
+            if since <= s.at < until
+            and s.organisation == organisation
+            and s.key not in self.revoked_at_by_key
+        ]
+        return len(found), sum(200 <= s.status < 300 for s in found)
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 GAP_S = (0.2, 1.2)  # between the beginnings of faults
 FAULT_S = (0.3, 3.0)
 START_S = 20.0
+# The small one asks for more than its rate, the large one for less.
 RATES = {"small": (15.0, 15.0), "large": (400.0, 400.0)}
 STALE_KEY_S = 8.0  # callers go on with a withdrawn key
 QUARTER = 0.25  # part of the requests that must be served again in the end
@@ -334,7 +335,7 @@
 
     async def _check_end(self, callers: list[asyncio.Task]) -> None:
         now = time.monotonic()
-        asked, served = self.watch.served(now - 3, now - 0.5)
+        asked, served = self.watch.owed("large", now - 3, now - 0.5)
         if served < QUARTER * asked or not asked:
             self.watch.broken.append(f"recover: {served} of {asked} served in the end")
         answer = await self._control.call("config.read", tries=50)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,6 +110,16 @@
     assert [text.partition(":")[0] for text in watch.broken] == [told]
 
 
+def test_end_counts_what_is_owed_only(watch):
+    watch.revoked_at_by_key["old"] = 1.0
+    for number, key in enumerate(["old", "old", "old", "k"]):
+        watch.on_send(f"r{number}", sent(at=2.0, key=key))
+    runs(watch, id_="r3")
+    watch.on_answer("r3", 200, b"r3 e")
+    assert watch.owed("o", 1.0, 3.0) == (1, 1)
+    assert watch.served(1.0, 3.0) == (4, 1)
+
+
 def test_bounds_that_need_calm_are_not_held_while_faults_last(watch):
     watch.note_fault(True, 9.0)
     _drained(watch)
@@ -127,10 +137,12 @@
 
 
 # Seeds that failed once, with the cause; they stay.
-FAILED_SEEDS: dict[int, str] = {}
+FAILED_SEEDS = {
+    4: "the check of the end counted withdrawn keys and requests over the rate: 371 of 611 were 401",
+}
 
 
-@pytest.mark.parametrize("seed", [4, *FAILED_SEEDS])
+@pytest.mark.parametrize("seed", [5, *FAILED_SEEDS])
 def test_short_run_of_real_processes_keeps_every_promise(tmp_path, seed):
     broken, made = play(tmp_path, run.Plan(seed, faults_s=6.0))
     assert broken == [], "\n".join(made.told)
