Count a steward as lost until it is back in the soak

Its logs: on the busy machine a process took two seconds to start; steward-1 had not answered yet when the disk of steward-0 was wiped, so no leader could admit the blank steward-0, and steward-2's disk was wiped 2.67 s later, while steward-0 counted as back. Two disks of three were lost at once, more than a deployment has to bear; the log rightly stood still. Ruled out: death of the processes (each end is a fault of the plan, shifted by the two seconds), descriptors (110 of 20,000), memory (no kill by the system).

--- a/soak/parties.py
+++ b/soak/parties.py
@@ -53,6 +53,16 @@
             await asyncio.sleep(ORDER_PAUSE_S)
         return None
 
+    async def is_back(self, steward: processes.Instance) -> bool:
+        """Returns whether a steward answers and knows the newest configuration."""
+        with contextlib.suppress(errors.FlamingotillerError):
+            answer = await self._client.call(
+                f"{steward.bound}:{self._fleet.control}", "POST", "/rpc?call=config.read",
+                timeout=CALL_TIMEOUT,
+            )  # fmt: skip
+            return answer.status == 200
+        return False
+
     async def lookup(self, zone: str) -> list[str]:
         """Returns addresses of gateways, none if no steward answered."""
         query = urllib.parse.urlencode(
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 GAP_S = (0.2, 1.2)  # between the beginnings of faults
 FAULT_S = (0.3, 3.0)
 START_S = 20.0
+BACK_S = 30.0  # for a start on a busy machine, and an election
 # The small one asks for more than its rate, the large one for less.
 RATES = {"small": (15.0, 15.0), "large": (400.0, 400.0)}
 STALE_KEY_S = 8.0  # callers go on with a withdrawn key
@@ -216,16 +217,26 @@
             free = free + [g for g in self.fleet.gateways if g.name not in self._busy]
         return self._rng.choice(free) if free else None
 
+    async def _bring_back(self, instance: processes.Instance) -> None:
+        """Starts a process; a steward counts as lost until it is back."""
+        self.fleet.launch(instance)
+        if instance.role == "steward":
+            async with asyncio.timeout(BACK_S):
+                while not await self._control.is_back(
+                    instance
+                ):  # noqa: ASYNC110 - nothing to wait on
+                    await asyncio.sleep(0.1)
+
     async def _kill(self, instance: processes.Instance, span: float) -> None:
         self.fleet.kill(instance)
         await asyncio.sleep(span)
-        self.fleet.launch(instance)
+        await self._bring_back(instance)
 
     async def _terminate(self, instance: processes.Instance, span: float) -> None:
         if not await self.fleet.terminate(instance):
             self.watch.broken.append(f"stop: {instance.name} did not end")
         await asyncio.sleep(span)
-        self.fleet.launch(instance)
+        await self._bring_back(instance)
 
     async def _pause(self, instance: processes.Instance, span: float) -> None:
         self.fleet.pause(instance, True)
@@ -236,7 +247,7 @@
         self.fleet.kill(instance)
         self.fleet.wipe(instance)
         await asyncio.sleep(span)
-        self.fleet.launch(instance)
+        await self._bring_back(instance)
         await asyncio.sleep(CATCH_UP_S)
 
     async def _full_disk(self, instance: processes.Instance, span: float) -> None:
@@ -354,7 +365,7 @@
         self.fleet.close()
 
 
-CATCH_UP_S = 2.0  # a wiped steward is not counted on before
+CATCH_UP_S = 4.0  # a lost disk counts as lost so long after its steward is back, by the rules
 _OF_STEWARDS = [
     Run._wipe, Run._full_disk, Run._cut, Run._silence, Run._silence_answers, Run._delay, Run._reset,
 ]  # fmt: skip
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -140,6 +140,7 @@
 # Seeds that failed once, with the cause; they stay.
 FAILED_SEEDS = {
     4: "the check of the end counted withdrawn keys, then left out keys that were still in force",
+    20: "two disks of three were lost at once: one counted as back while its steward was starting",
 }
 
 
