--- a/flamingotiller/fleet/follower.py
+++ b/flamingotiller/fleet/follower.py
@@ -46,7 +46,7 @@
         lose: Told that the last poll has no answer.
 
     Attributes:
-        leader: Address of the leader, or of the source that answers, as far as known.
+        source: Address of the leader, or of the steward that answers, as far as known.
         known: Addresses of control instances, learned from answers.
         answered_at: When what was last answered was the newest, None before the first answer.
     """
@@ -73,7 +73,7 @@
         self._turn = 0
         self._reached = False
         self._lost_at = clk.monotonic()
-        self.leader = ""
+        self.source = ""
         self.known: list[str] = []
         self.answered_at: datetime.timedelta | None = None
 
@@ -109,8 +109,8 @@
 
     def _next_peer(self) -> str:
         now = self._clock.monotonic()
-        if self._prefer is None and self._is_usable(self.leader, now):
-            return self.leader
+        if self._prefer is None and self._is_usable(self.source, now):
+            return self.source
         peers = list(dict.fromkeys([*self.known, *self._seeds]))
         usable = [p for p in peers if self._is_usable(p, now)]
         self._turn += 1
@@ -119,8 +119,8 @@
         if self._prefer is not None:
             nearest = min(self._prefer(peer) for peer in usable)
             usable = [peer for peer in usable if self._prefer(peer) == nearest]
-            if self.leader in usable:
-                return self.leader
+            if self.source in usable:
+                return self.source
         return usable[self._turn % len(usable)]
 
     def _is_usable(self, peer: str, now: datetime.timedelta) -> bool:
@@ -138,7 +138,7 @@
         now = self._clock.monotonic()
         hint = error.leader
         usable = hint and hint != peer and self._avoid_until.get(hint, clock.ZERO) <= now
-        self.leader = hint if usable else ""
+        self.source = hint if usable else ""
         self._note_silence(peer, error, sent)
         if not usable:
             await asyncio.sleep(RETRY_PAUSE.total_seconds())
@@ -151,8 +151,8 @@
         span = base * 2 ** min(self._failures[peer], 8)
         self._failures[peer] += 1
         self._avoid_until[peer] = self._clock.monotonic() + min(span, LONGEST_AVOIDANCE)
-        if peer == self.leader:
-            self.leader = ""
+        if peer == self.source:
+            self.source = ""
         self._note_silence(peer, error, sent)
         await asyncio.sleep(RETRY_PAUSE.total_seconds())
 
@@ -169,7 +169,7 @@
     def _note_answer(
         self, peer: str, answer: dict[str, typing.Any], as_of: datetime.timedelta
     ) -> None:
-        self.leader = peer
+        self.source = peer
         self._failures.pop(peer, None)
         # Another source may know less than the one before it.
         self.answered_at = max(self.answered_at or as_of, as_of)
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -224,7 +224,7 @@
                 events.VERSION_REFUSED,
                 offered=answer["revision"],
                 held=self.revision,
-                peer=self._follower.leader,
+                peer=self._follower.source,
             )
             return
         if answer["items"] or answer["full"]:
@@ -434,7 +434,7 @@
             await asyncio.shield(task)
 
     async def _ask_tokens(self, organisation: str) -> None:
-        steward = self._follower.leader
+        steward = self._follower.source
         draw = self._quota.draw(self.config.name, organisation)
         body = {"organisation": organisation, "draw": dataclasses.astuple(draw)}
         grant = bank.Grant(0, 0)
--- a/flamingotiller/fleet/quota.py
+++ b/flamingotiller/fleet/quota.py
@@ -12,9 +12,11 @@
 
 # Demand is averaged over about this time.
 DEMAND_MEMORY_S = 1.0
-# A stock lasts for about this time, a poll; demand that is less than a request in it keeps none,
-# since the branch is near and many small stocks would strand more than a contract allows.
+# A stock lasts for about this time, two polls. Where demand is less than a request in it none is
+# kept: the branch is near, and many small stocks would strand more than a contract allows.
 STOCK_S = 0.8
+# Tokens beyond what is kept in stock that are not worth giving back.
+TOLERATED_SURPLUS = 2
 # Demand that is not worth telling; one request is forgotten after some seconds.
 NO_DEMAND = 0.01
 # After a refused draw none is tried again for this long; the branch draws meanwhile.
@@ -155,7 +157,7 @@
                 continue
             target = self._target(stock)
             wanted = target - stock.tokens
-            if -2 <= wanted < 0:
+            if -TOLERATED_SURPLUS <= wanted < 0:
                 wanted = 0
             if wanted < 0:
                 stock.tokens += wanted
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -144,8 +144,9 @@
         self._local = attendance.Attendance((), clk.monotonic())
         self._branch = branch.Branch(f"{config.name}.{secrets.token_hex(4)}", config.tolerance)
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
-        # Revisions that the leader had when polls were sent, until they are applied here.
+        # Draws of the poll that is under way.
         self._polled: dict[str, bank.Draw] = {}
+        # Revisions that the leader had when polls were sent, until they are applied here.
         self._unproved: collections.deque[tuple[int, datetime.timedelta]] = collections.deque(
             maxlen=MOST_UNPROVED
         )
@@ -329,7 +330,7 @@
         return leading
 
     def _leader_address(self) -> str:
-        return self.log.leader_address or self._follower.leader
+        return self.log.leader_address or self._follower.source
 
     async def _drop_silent(self, leading: _Leading, now: datetime.timedelta) -> None:
         for endpoint in leading.registry.silent(self.state, now):
--- a/tests/test_fleet_bank.py
+++ b/tests/test_fleet_bank.py
@@ -423,3 +423,16 @@
     fleet.now += clock.seconds(30)
     fleet.poll("g0")
     assert held.draw("g0", "o").stock <= 2
+
+
+def test_poll_that_wanted_no_tokens_does_not_hold_up_the_next_draw():
+    """A branch with a full stock polls, and its gateways use the stock up right after."""
+    held = branch.Branch("b", TOLERANCE)
+    ledger = held.ledger("o")
+    now = clock.seconds(10)
+    ledger.give(bank.Draw("g", 0, 0, 1.0), now)
+    first = held.draw("o", now, 0)
+    ledger.receive(bank.Grant(first.wanted, 0), now)
+    assert held.draw("o", now, 0).wanted == 0
+    ledger.receive(bank.Grant(0, 0), now)
+    assert ledger.denied_until <= now
