Restamp a zone's summary that ties with another member's

Cause: two members that start at once and greet another zone both stamp their summary 1. The other zone keeps the first until one of them stamps again, up to 30 s later, so that it may name a stopped instance all that time.

Change: a member that learns of another summary with its own stamp makes a newer one.

--- a/flamingotiller/membership.py
+++ b/flamingotiller/membership.py
@@ -261,7 +261,9 @@
         settled = now - self._started >= self.timeout
         if not settled and known and known.stamp > held.stamp:
             return known
-        if addresses != held.addresses or now - self._stamped_at >= RESTAMP_INTERVAL:
+        # Members that start together stamp alike; of equal stamps other zones keep the first.
+        tied = known is not None and known.stamp == held.stamp and known.addresses != addresses
+        if addresses != held.addresses or tied or now - self._stamped_at >= RESTAMP_INTERVAL:
             # Epochs are wall-clock times, so the stamps of a zone keep increasing even if all of
             # its instances restart.
             epoch_stamp = (
