Count all that an earlier leader may have granted since its handover

Cause: a new leader that starts from a handover took one burst as granted since. The earlier one may have granted its bucket and what refilled it, for as long as the handover is old: 287 requests ran in a window where 284 may.

Change: what is assumed is the bucket and its refill from the handover, and the delay with which that was received, to the start of the term, but not more than the window had left.

Before: test_new_leader_counts_all_that_the_last_one_may_have_granted_since_its_handover fails with 287 of 284. After: it passes; the other accounting tests as before.

--- a/flamingotiller/fleet/accounting.py
+++ b/flamingotiller/fleet/accounting.py
@@ -42,6 +42,8 @@
 HANDOVER_STEP = clock.seconds(0.5)
 # An older handover misses too much of what its leader granted afterwards, so it is not used.
 MAX_HANDOVER_AGE = clock.seconds(3)
+# Longest time between the making of a handover and its receipt: the timeout of a poll.
+MAX_HANDOVER_DELAY = clock.seconds(1)
 
 # JSON form of an account, which the leader sends to the other stewards.
 Handover = dict[str, typing.Any]
@@ -192,9 +194,11 @@
         for name, (stock, demand, reserve, number) in handover["holders"].items():
             holder = HolderState(stock, demand, reserve, number, handover_at)
             self._state_by_holder[name] = holder
-        # The earlier leader may have granted what was left after the handover.
-        left = max(0.0, self._headroom(rate, burst, handover_at))
-        self._uses.append((self._opened_at, min(left, burst)))
+        # The earlier leader may have granted since what was left, as far as its bucket had it.
+        left = max(0.0, self._headroom(rate, burst, self._opened_at))
+        elapsed = self._opened_at - handover_at + MAX_HANDOVER_DELAY
+        granted = self._capacity(burst) + self._refill_rate(rate, burst) * elapsed.total_seconds()
+        self._uses.append((self._opened_at, min(left, granted)))
 
     def _assumed_use(self, rate: float, burst: float) -> list[tuple[datetime.timedelta, float]]:
         """Returns the largest use possible before this leader's term.
@@ -247,9 +251,14 @@
         """
         elapsed = max(0.0, (now - self._refilled_at).total_seconds())
         self._refilled_at = now
-        refill_rate = self._tolerance.allowed(rate, burst) / self._tolerance.window.total_seconds()
-        capacity = burst + self._tolerance.excess(burst)
-        self._bucket_tokens = min(max(1.0, capacity), self._bucket_tokens + refill_rate * elapsed)
+        refill = self._refill_rate(rate, burst) * elapsed
+        self._bucket_tokens = min(self._capacity(burst), self._bucket_tokens + refill)
+
+    def _capacity(self, burst: float) -> float:
+        return max(1.0, burst + self._tolerance.excess(burst))
+
+    def _refill_rate(self, rate: float, burst: float) -> float:
+        return self._tolerance.allowed(rate, burst) / self._tolerance.window.total_seconds()
 
     def _headroom(self, rate: float, burst: float, now: datetime.timedelta) -> float:
         window = self._tolerance.window
--- a/tests/test_fleet_accounting.py
+++ b/tests/test_fleet_accounting.py
@@ -297,6 +297,28 @@
         fleet.check()
 
 
+def test_new_leader_counts_all_that_the_last_one_may_have_granted_since_its_handover():
+    """An idle organisation becomes busy after the handover that a new leader starts from."""
+    now = clock.seconds(100)
+    old = accounting.Accounts(TOLERANCE, clock.ZERO)
+    old.draw("o", accounting.Draw("b0", 0, 0, number=1), RATE, BURST, now)
+    handover, handover_at = old.dump(now), now
+    granted = []
+    number = 1
+    for step in range(100):
+        now += clock.seconds(0.1)
+        leader = old
+        if step >= 20:
+            if step == 20:
+                new = accounting.Accounts(TOLERANCE, now, handover, handover_at)
+            leader = new
+        number += 1
+        draw = accounting.Draw("b0", 0, 1000, number=number)
+        granted.append((now, leader.draw("o", draw, RATE, BURST, now).tokens))
+        recent = sum(tokens for at, tokens in granted if now - at <= TOLERANCE.window)
+        assert recent <= MAX_REQUESTS
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_overloaded_organisation_stays_within_its_window_across_silences_and_new_leaders(seed):
     """An overloaded organisation, gateways that are silent for 1.5 s now and then, new leaders.
