Divide a branch's reserve by demand over the contract's window

Cause: a gateway's share of the reserve followed its demand of the last second. At 3 requests a second that is noise, so in an outage some gateways run out while others have reserves left.

Change: the share follows the demand averaged over the window.

--- a/flamingotiller/fleet/branch.py
+++ b/flamingotiller/fleet/branch.py
@@ -35,12 +35,14 @@
     Attributes:
         stock: Unused tokens that it may have.
         demand: Recent requests per second.
+        mean_demand: Requests per second, averaged over the contract's window.
         reserve: Its share of the branch's reserve.
         drawn_at: When the draw arrived.
     """
 
     stock: int
     demand: float
+    mean_demand: float
     reserve: int
     drawn_at: datetime.timedelta
 
@@ -49,7 +51,7 @@
     """One organisation's tokens at a branch.
 
     Args:
-        retention: How long a silent gateway counts; it may still use what it has.
+        window: Window over which the contract counts requests.
 
     Attributes:
         tokens: Tokens in the branch's own stock.
@@ -61,8 +63,10 @@
         draws_in_flight: Draws at the leader that have had no response yet.
     """
 
-    def __init__(self, retention: datetime.timedelta) -> None:
-        self._retention = retention
+    def __init__(self, window: datetime.timedelta) -> None:
+        self._window = window
+        # A silent gateway may still use what it has.
+        self._retention = accounting.GATEWAY_TOKEN_LIFETIME + window
         self._state_by_gateway: dict[str, GatewayState] = {}
         self.tokens = 0
         self.spent = 0
@@ -81,7 +85,8 @@
         used = min(draw.spent, reserve)
         self._use_reserve(used)
         self.spent += draw.spent - used
-        gateway = GatewayState(draw.stock, draw.demand, reserve - used, now)
+        mean_demand = self._mean_demand(before, draw.demand, now)
+        gateway = GatewayState(draw.stock, draw.demand, mean_demand, reserve - used, now)
         self._state_by_gateway[draw.holder] = gateway
         self._convert_reserve(draw.wanted)
         granted = min(draw.wanted, self.tokens) if draw.wanted > 0 else draw.wanted
@@ -94,6 +99,14 @@
         gateway.reserve = self._reserve_share(gateway)
         return accounting.Grant(granted, gateway.reserve)
 
+    def _mean_demand(
+        self, before: GatewayState | None, demand: float, now: datetime.timedelta
+    ) -> float:
+        if before is None:
+            return demand
+        weight = min(1.0, (now - before.drawn_at) / self._window)
+        return before.mean_demand + weight * (demand - before.mean_demand)
+
     def _convert_reserve(self, wanted: int) -> None:
         """Turns the undivided part of the reserve into tokens as far as the stock falls short."""
         amount = min(wanted - self.tokens, self.reserve - self.divided_reserve)
@@ -110,12 +123,13 @@
     def _reserve_share(self, gateway: GatewayState) -> int:
         """Returns a gateway's share of the reserve.
 
-        Callers are spread over gateways, so half of the share follows the mean demand.
+        Callers are spread over gateways, so half of the share follows the mean demand. Demand is
+        averaged over the window: the few requests of one second say little of an outage's.
         """
-        demand = self.demand
+        demand = sum(state.mean_demand for state in self._state_by_gateway.values())
         if demand <= 0:
             return 0
-        expected = (gateway.demand + demand / len(self._state_by_gateway)) / 2
+        expected = (gateway.mean_demand + demand / len(self._state_by_gateway)) / 2
         divided = int(DIVIDED_FRACTION * self.reserve)
         others = self.divided_reserve - gateway.reserve
         return max(0, min(int(divided * expected / demand), divided - others))
@@ -207,7 +221,7 @@
 
     def __init__(self, holder: str, tolerance: accounting.Tolerance) -> None:
         self._holder = holder
-        self._retention = accounting.GATEWAY_TOKEN_LIFETIME + tolerance.window
+        self._window = tolerance.window
         self._number = 0
         self._ledger_by_organisation: dict[str, Ledger] = {}
 
@@ -215,7 +229,7 @@
         """Returns an organisation's ledger, which is opened if there is none."""
         ledger = self._ledger_by_organisation.get(organisation)
         if ledger is None:
-            ledger = Ledger(self._retention)
+            ledger = Ledger(self._window)
             self._ledger_by_organisation[organisation] = ledger
         return ledger
 
