Do not hold up a branch's draws after one that wanted no tokens

Cause: any response without tokens stopped draws for 0.1 s, also that of a poll that asked for none. Requests within the contract were refused with 429 meanwhile.

--- a/flamingotiller/fleet/branch.py
+++ b/flamingotiller/fleet/branch.py
@@ -75,6 +75,7 @@
         self.denied_until = clock.ZERO
         self.draws_in_flight = 0
         self._reserve_used_since_draw = 0
+        self._last_wanted = 0
 
     def grant(self, draw: accounting.Draw, now: datetime.timedelta) -> accounting.Grant:
         """Records a gateway's draw, by which it may return tokens too, and returns its grant."""
@@ -176,6 +177,7 @@
             self.reserve = max(self.divided_reserve, int(RESERVE_DECAY * self.reserve))
         spent, self.spent = self.spent, 0
         self.draws_in_flight += 1
+        self._last_wanted = wanted
         self._reserve_used_since_draw = 0
         return accounting.Draw(
             holder,
@@ -191,7 +193,7 @@
         """Applies the leader's response to a draw."""
         self.draws_in_flight -= 1
         self.tokens += grant.tokens
-        if not grant.tokens:
+        if not grant.tokens and self._last_wanted > 0:
             self.denied_until = now + DRAW_BACKOFF
         self.reserve_fixed = grant.reserve == accounting.RESERVE_UNCHANGED
         if not self.reserve_fixed and not self.draws_in_flight:
