Serve download routes, and stream long responses as they arrive

Each response up to 1 MiB was read whole before any of it was sent: a download crossed the link of a gateway twice in turn, and up to 1 MiB of it lay in memory.

Change: a download is idempotent. A response of more than 32 KiB is passed on as it arrives, no faster than its caller reads, until the request's deadline; a connection holds at most 64 KiB in each direction. A streamed response that breaks off is reset, and it is not streamed at all to callers that could not tell (HTTP/1.0 without a length). Errors are never streamed. A success without the request's id or the endpoint's seal is not passed on; informational responses are counted; data on an idle connection closes it at once. A body that breaks off behind a head that says not run still means not run. A fault of an invalid order names the value.

On the code before, a long response was held until it was complete, a caller that stopped reading kept the endpoint's connection past its deadline, endless informational responses lasted until the deadline, and successes without id or seal were passed on.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -81,6 +81,7 @@
         now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
+            connection.idle = False
             # Bytes received while idle belong to no request, so the connection is out of step.
             if not connection.lost and not connection.bytes_read and now < connection.idle_until:
                 return connection, True
@@ -142,6 +143,7 @@
             self.discard(peer, connection)
             return
         connection.h11.start_next_cycle()
+        connection.idle = True
         idle.append(connection)
 
     def discard(self, peer: str, connection: wire.Connection) -> None:
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import dataclasses
 import datetime
@@ -11,8 +12,13 @@
 from flamingotiller import client, clock, dispatch, errors, server, wire
 from flamingotiller.fleet import model, placement
 
-# Longer responses are streamed to the caller; shorter ones are read and checked as a whole first.
-MAX_BUFFERED_RESPONSE_BYTES = 1024 * 1024
+# Longer responses are streamed to the caller. Shorter ones are read and checked as a whole first:
+# the caller then gets a retry or an error instead of a truncated response.
+MAX_BUFFERED_RESPONSE_BYTES = 32 * 1024
+# Longest error response that is read; errors are never streamed, because a retry may replace them.
+MAX_ERROR_RESPONSE_BYTES = 1024 * 1024
+# Responses with a status below 200 that an endpoint may send before its final one.
+MAX_INFORMATIONAL_RESPONSES = 8
 # Extra time after the deadline for the endpoint's own response to arrive. An endpoint that keeps to
 # its deadline answers within it, and its response tells more than the gateway's timeout would.
 RESPONSE_GRACE = clock.seconds(0.03)
@@ -132,6 +138,11 @@
             )
         return remaining
 
+    def _reading_time(self) -> datetime.timedelta:
+        """Returns how long to wait for the endpoint; zero still reads what has already arrived."""
+        deadline = self._job.deadline + RESPONSE_GRACE
+        return max(clock.ZERO, deadline - self._clock.monotonic())
+
     async def run(self, reply: server.Reply) -> Response | None:
         """Sends the request and reads the response.
 
@@ -144,17 +155,24 @@
                 may have run.
         """
         address = self._endpoint.address
-        link, reused = await self._pool.acquire(address)
+        link, _ = await self._pool.acquire(address)
+        not_run: dispatch.ShedError | None = None
         try:
             self._dispatch_state.begin_attempt()
             await self._send(link)
             head = await self._read_head(link)
+            not_run = self._not_run_error(head)
             response = await self._read_body(link, head, reply)
+        except errors.TransportError as error:
+            self._pool.discard(address, link)
+            # The head alone tells that the request did not run, whatever becomes of the body.
+            raise not_run or error from error
         except BaseException:
             self._pool.discard(address, link)
             raise
         self._pool.release(address, link, idle_timeout=keep_alive_timeout(head))
-        self._check_not_run(response or Response(head.status_code, list(head.headers), b""))
+        if not_run:
+            raise not_run
         return response
 
     async def _send(self, link: wire.Connection) -> None:
@@ -196,60 +214,114 @@
         return h11.Request(method=job.request.method, target=job.request.target, headers=headers)
 
     async def _read_head(self, link: wire.Connection) -> h11.Response:
-        event = await link.next_event(self._remaining(RESPONSE_GRACE))
-        while isinstance(event, h11.InformationalResponse):
-            event = await link.next_event(self._remaining(RESPONSE_GRACE))
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+            event = await link.next_event(self._reading_time())
+            if not isinstance(event, h11.InformationalResponse):
+                break
+        if isinstance(event, h11.InformationalResponse):
+            raise self._protocol_error("too many informational responses")
         if not isinstance(event, h11.Response):
             raise errors.ConnectionLostError(
                 "connection ended without a response", step="read head", peer=self._endpoint.address
             )
         echoed = wire.header(event.headers, self._dialect.request_id)
         if echoed is not None and echoed != self._job.request_id:
-            raise errors.ProtocolError(
-                "response carries the id of another request",
-                step="read head",
-                peer=self._endpoint.address,
-            )
+            raise self._protocol_error("response carries the id of another request")
+        if event.status_code < 300 and (
+            echoed is None or wire.header(event.headers, self._dialect.seal) is None
+        ):
+            raise self._protocol_error("response lacks the request's id or the endpoint's seal")
         load = wire.header(event.headers, self._dialect.load)
         self.load = self._dialect.parse_load(load) if load is not None else None
         return event
 
+    def _protocol_error(self, message: str) -> errors.ProtocolError:
+        return errors.ProtocolError(message, step="read head", peer=self._endpoint.address)
+
+    def _not_run_error(self, head: h11.Response) -> dispatch.ShedError | None:
+        """Returns the error of a response that says that the request did not run, and records it;
+        None for any other response."""
+        misdirected = head.status_code == 421
+        if not misdirected and wire.header(head.headers, self._dialect.not_run) is None:
+            return None
+        self._dispatch_state.mark_not_run()
+        error_type = MisdirectedError if misdirected else dispatch.ShedError
+        return error_type(
+            f"endpoint did not run the request: status {head.status_code}",
+            step="forward",
+            peer=self._endpoint.address,
+        )
+
     async def _read_body(
         self, link: wire.Connection, head: h11.Response, reply: server.Reply
     ) -> Response | None:
+        may_stream = head.status_code < 400 and self._caller_sees_truncation(head)
+        limit = MAX_BUFFERED_RESPONSE_BYTES if may_stream else MAX_ERROR_RESPONSE_BYTES
+        if may_stream and _declared_length(head) > limit:
+            await self._stream(link, head, [], reply)
+            return None
         parts: list[bytes] = []
         size = 0
-        while size <= MAX_BUFFERED_RESPONSE_BYTES:
-            event = await link.next_event(self._remaining(RESPONSE_GRACE))
-            if isinstance(event, h11.EndOfMessage):
-                if link.broken:
-                    raise errors.ConnectionLostError(
-                        "response was truncated", step="read body", peer=self._endpoint.address
-                    )
+        while size <= limit:
+            data = await self._next_data(link)
+            if data is None:
                 return Response(head.status_code, list(head.headers), b"".join(parts))
-            parts.append(bytes(event.data))
-            size += len(event.data)
-        await reply.start(head.status_code, dispatch.forwarded_headers(head.headers))
-        for part in parts:
-            await reply.write(part)
-        while True:
-            event = await link.next_event(self._remaining(RESPONSE_GRACE))
-            if isinstance(event, h11.EndOfMessage):
+            parts.append(data)
+            size += len(data)
+        if not may_stream:
+            raise self._protocol_error(f"response is longer than {limit} bytes")
+        await self._stream(link, head, parts, reply)
+        return None
+
+    def _caller_sees_truncation(self, head: h11.Response) -> bool:
+        """Returns whether a streamed response that breaks off differs from a complete one."""
+        return self._job.request.version != "1.0" or _declared_length(head) >= 0
+
+    async def _next_data(self, link: wire.Connection) -> bytes | None:
+        """Returns the next part of the body, None at its end."""
+        event = await link.next_event(self._reading_time())
+        if not isinstance(event, h11.EndOfMessage):
+            return bytes(event.data)
+        if link.broken:
+            raise errors.ConnectionLostError(
+                "response was truncated", step="read body", peer=self._endpoint.address
+            )
+        return None
+
+    async def _stream(
+        self,
+        link: wire.Connection,
+        head: h11.Response,
+        parts: list[bytes],
+        reply: server.Reply,
+    ) -> None:
+        """Sends a response to the caller as it arrives, no faster than the caller reads it."""
+        headers = [
+            (name, value)
+            for name, value in dispatch.forwarded_headers(head.headers)
+            if name != self._dialect.request_id
+        ]
+        headers.append((self._dialect.request_id, self._job.request_id.encode("latin-1")))
+        try:
+            async with asyncio.timeout(self._reading_time().total_seconds()):
+                await reply.start(head.status_code, headers)
+                for part in parts:
+                    await reply.write(part)
+                while (data := await self._next_data(link)) is not None:
+                    await reply.write(data)
                 await reply.finish()
-                return None
-            await reply.write(bytes(event.data))
+        except TimeoutError as error:
+            raise errors.ExchangeTimeoutError(
+                "the response was not transferred by the deadline",
+                step="stream",
+                peer=self._endpoint.address,
+            ) from error
 
-    def _check_not_run(self, response: Response) -> None:
-        misdirected = response.status == 421
-        if not misdirected and wire.header(response.headers, self._dialect.not_run) is None:
-            return
-        self._dispatch_state.mark_not_run()
-        error_type = MisdirectedError if misdirected else dispatch.ShedError
-        raise error_type(
-            f"endpoint did not run the request: status {response.status}",
-            step="forward",
-            peer=self._endpoint.address,
-        )
+
+def _declared_length(head: h11.Response) -> int:
+    """Returns the length that a response declares, -1 if it declares none."""
+    value = wire.header(head.headers, b"content-length")
+    return int(value) if value is not None else -1
 
 
 def keep_alive_timeout(head: h11.Response) -> datetime.timedelta | None:
@@ -273,8 +345,3 @@
     ]
     headers.append((request_id_header, request_id.encode("latin-1")))
     return headers
-
-
-def no_response_body(method: str, status: int) -> bool:
-    """Returns whether a response has no body regardless of its headers."""
-    return method == "HEAD" or status in (204, 304)
--- a/flamingotiller/platform/messages.py
+++ b/flamingotiller/platform/messages.py
@@ -14,6 +14,8 @@
 from flamingotiller.platform import settings_file
 
 MAX_ROUTE_TIMEOUT_S = 600.0
+# A download is an idempotent request with a long response.
+_IDEMPOTENT_TYPES = ("idempotent", "download")
 _VERSION = re.compile(r"^r?(\d{1,18})$")
 _ADDRESS = re.compile(r"^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$")
 
@@ -60,7 +62,9 @@
 
     host: NonEmptyText
     path_prefix: NonEmptyText = pydantic.Field(alias="pathPrefix", pattern=r"^/(.*/)?$")
-    route_type: typing.Literal["idempotent", "non_idempotent"] = pydantic.Field(alias="routeType")
+    route_type: typing.Literal["idempotent", "non_idempotent", "download"] = pydantic.Field(
+        alias="routeType"
+    )
     timeout: DurationSeconds = pydantic.Field(gt=0, le=MAX_ROUTE_TIMEOUT_S)
     target_latency: DurationSeconds = pydantic.Field(alias="targetLatency")
     priority: StrictInteger = pydantic.Field(default=0, ge=0)
@@ -92,7 +96,7 @@
             name=name,
             host=self.host.lower(),
             prefix=self.path_prefix,
-            idempotent=self.route_type == "idempotent",
+            idempotent=self.route_type in _IDEMPOTENT_TYPES,
             timeout_s=self.timeout,
             objective_s=self.target_latency,
             rank=self.priority,
@@ -266,10 +270,17 @@
     except orjson.JSONDecodeError as error:
         raise errors.InvalidInputError(f"body is not JSON: {error}", step=step) from error
     except pydantic.ValidationError as error:
-        faults = [f"{'.'.join(map(str, f['loc']))}: {f['msg']}" for f in error.errors()[:20]]
+        faults = [_describe_fault(fault) for fault in error.errors()[:20]]
         raise errors.InvalidInputError("body is not valid", faults=faults, step=step) from error
 
 
+def _describe_fault(fault: typing.Any) -> str:
+    text = f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+    if isinstance(fault["input"], (str, int, float, bool)):
+        text += f", got {str(fault['input'])[:100]!r}"
+    return text
+
+
 def decode_order(body: bytes, base: str | None) -> steward.ConfigurationUpdate:
     """Parses a configuration and the version that it is based on.
 
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -6,9 +6,12 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import datetime
 import math
+import socket
+import struct
 import time
 import typing
 
@@ -17,8 +20,9 @@
 from flamingotiller import errors
 
 MAX_HEAD_BYTES = 16 * 1024
-READ_HIGH_WATER_BYTES = 256 * 1024
-WRITE_HIGH_WATER_BYTES = 256 * 1024
+# Bytes that may wait on a connection in each direction before its peer is slowed down.
+READ_HIGH_WATER_BYTES = 64 * 1024
+WRITE_HIGH_WATER_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass
@@ -34,6 +38,9 @@
     written: int = 0
 
 
+# Value of SO_LINGER that makes closing a socket reset the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 # Total over all connections of this process, for metrics.
 total_traffic = Traffic()
 
@@ -51,6 +58,8 @@
         broken: Whether the connection ended with an error rather than an orderly close.
         last_data_at: Time of the last data from the peer, in seconds of ``time.monotonic``; 0
             before any data.
+        idle: Whether the connection waits in a pool. Data that arrives then belongs to no request
+            and closes it.
         idle_until: Time until which the connection may be reused while idle, in seconds of the
             event loop's clock.
     """
@@ -67,6 +76,7 @@
         self.lost = False
         self.broken = False
         self.last_data_at = 0.0
+        self.idle = False
         self.idle_until = math.inf
         self.bytes_written = 0
         self.bytes_read = 0
@@ -99,6 +109,9 @@
         self.last_data_at = time.monotonic()
         self.bytes_read += len(data)
         total_traffic.read += len(data)
+        if self.idle:
+            self.abort()
+            return
         self.h11.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_HIGH_WATER_BYTES and not self._read_paused:
@@ -218,9 +231,17 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Closes the connection immediately, so that a partial message cannot look complete."""
-        if self._transport:
-            self._transport.abort()
+        """Closes the connection immediately, so that a partial message cannot look complete.
+
+        A server resets it: a message without a length ends with an orderly close.
+        """
+        if not self._transport:
+            return
+        sock = self._transport.get_extra_info("socket")
+        if self.h11.our_role is h11.SERVER and sock is not None:
+            with contextlib.suppress(OSError):  # the peer may have closed it already
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
 
 
 def _expire(waiter: asyncio.Future[None]) -> None:
