Compress the bodies that instances send each other

Cause: bytes between regions were the largest price on the large fleet. A steward's poll carries a draw for each organisation, its response a copy of the accounts: holders x organisations.

What a body inflates to is bounded.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -13,7 +13,7 @@
 import h11
 import orjson
 
-from flamingotiller import clock, errors, wire
+from flamingotiller import clock, compression, errors, wire
 
 CONNECT_TIMEOUT = clock.seconds(1)
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
@@ -173,6 +173,8 @@
     def __init__(self, pool: ConnectionPool, token: str | None = None) -> None:
         self.pool = pool
         self._token = token
+        # Peers that have said that they understand compressed bodies.
+        self._compressing_peers: set[str] = set()
 
     async def call(
         self,
@@ -200,17 +202,36 @@
             errors.TransportError: The exchange failed; ``sent`` is False if no byte was sent.
         """
         data = b"" if body is None else body if raw else orjson.dumps(body)
-        head = h11.Request(method=method, target=target, headers=self._headers(peer, data, headers))
+        compressed = (
+            compression.compress(data) if not raw and peer in self._compressing_peers else None
+        )
+        fields = self._headers(peer, compressed or data, headers)
+        if compressed is not None:
+            data = compressed
+            fields.append(compression.CONTENT_HEADER)
+        head = h11.Request(method=method, target=target, headers=fields)
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                return await self._exchange(peer, head, data, timeout)
+                response = await self._exchange(peer, head, data, timeout)
         except TimeoutError as error:
             raise errors.ExchangeTimeoutError(
                 "no response in time", step=f"{method} {target}", peer=peer
             ) from error
-
-    def _headers(self, peer: str, data: bytes, extra) -> list[tuple[str, str]]:
-        headers = [("host", peer), ("content-length", str(len(data))), *extra]
+        if compression.is_accepted(response.headers):
+            self._compressing_peers.add(peer)
+        else:
+            # Another build may run at the address now.
+            self._compressing_peers.discard(peer)
+        plain = compression.decompress(response.body, response.headers, MAX_RESPONSE_BYTES)
+        return dataclasses.replace(response, body=plain)
+
+    def _headers(self, peer: str, data: bytes, extra) -> list[typing.Any]:
+        headers: list[typing.Any] = [
+            ("host", peer),
+            ("content-length", str(len(data))),
+            compression.ACCEPT_HEADER,
+            *extra,
+        ]
         if self._token is not None:
             headers.append(("authorization", f"Bearer {self._token}"))
         return headers
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -18,7 +18,7 @@
 import h11
 import orjson
 
-from flamingotiller import clock, errors, wire
+from flamingotiller import clock, compression, errors, wire
 
 REASON_PHRASES = {
     200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
@@ -140,6 +140,12 @@
             errors.InvalidInputError: The body is not JSON.
         """
         body = await self.read()
+        try:
+            body = compression.decompress(body, self.headers, self._limits.body_bytes)
+        except errors.ProtocolError as error:
+            raise errors.InvalidInputError(
+                error.message, step="read body", peer=self.peer
+            ) from error
         try:
             return orjson.loads(body)
         except orjson.JSONDecodeError as error:
@@ -149,11 +155,20 @@
 
 
 class Reply:
-    """Writer of the response to one request; it is started once and finished once."""
+    """Writer of the response to one request; it is started once and finished once.
 
-    def __init__(self, connection: wire.Connection, method: str) -> None:
+    Args:
+        connection: Connection of the request.
+        method: Method of the request.
+        compressing: Whether the caller understands compressed JSON bodies.
+    """
+
+    def __init__(
+        self, connection: wire.Connection, method: str, *, compressing: bool = False
+    ) -> None:
         self._connection = connection
         self._head_only = method == "HEAD"
+        self._compressing = compressing
         self.started = False
         self.finished = False
         self.status = 0
@@ -201,7 +216,13 @@
     ) -> None:
         """Sends a complete response with a JSON body."""
         body = orjson.dumps(value)
-        await self.send(status, body, [(b"content-type", b"application/json"), *headers])
+        fields = [(b"content-type", b"application/json"), *headers]
+        if self._compressing:
+            fields.append(compression.ACCEPT_HEADER)
+            if compressed := compression.compress(body):
+                body = compressed
+                fields.append(compression.CONTENT_HEADER)
+        await self.send(status, body, fields)
 
     def _mark_started(self, status: int) -> None:
         self.started = True
@@ -287,6 +308,7 @@
         handler: Called with each request.
         limits: Limits of the server; may be replaced while it runs.
         on_handler_error: Called with an unexpected exception of a handler and the peer's address.
+        compresses: Whether JSON responses may be compressed; for calls between instances.
     """
 
     def __init__(
@@ -295,7 +317,9 @@
         *,
         limits: Limits | None = None,
         on_handler_error: collections.abc.Callable[[BaseException, str], None] | None = None,
+        compresses: bool = False,
     ) -> None:
+        self._compresses = compresses
         self._handler = handler
         self.limits = limits or Limits()
         self._on_handler_error = on_handler_error
@@ -379,7 +403,8 @@
         if not isinstance(head, h11.Request):
             return False
         self._busy.add(connection)
-        reply = Reply(connection, head.method.decode("ascii"))
+        compressing = self._compresses and compression.is_accepted(head.headers)
+        reply = Reply(connection, head.method.decode("ascii"), compressing=compressing)
         reply.close_after = self._draining or self._keep_alive_disabled
         await self._handle(head, connection, reply)
         self._busy.discard(connection)
