Let each steward take the reports that change nothing

Change: a steward whose state is confirmed sorts reports itself: one that changes nothing is acknowledged, and its endpoint is named in the next poll of the leader, which still decides alone who is silent. Starts, drains and cold periods go to the leader as before. Accounts go to voters only. The tables of reports are pruned.

--- a/flamingotiller/fleet/registry.py
+++ b/flamingotiller/fleet/registry.py
@@ -1,13 +1,16 @@
-"""Liveness of endpoints at the leader: which reports need a log entry, and which endpoints are
-silent.
+"""Liveness of endpoints: which reports need a log entry, and which endpoints are silent.
 
 Starts, drains, departures and cold periods are written to the log. All other reports only renew an
-endpoint's liveness, which the leader keeps in memory.
+endpoint's liveness, which is kept in memory. Each steward sorts the reports that it gets: it passes
+those that need an entry to the leader at once, and names the renewed endpoints in its next poll of
+the leader, which alone decides which endpoints are silent.
 """
 
 from __future__ import annotations
 
+import collections.abc
 import datetime
+import enum
 
 from flamingotiller import clock
 from flamingotiller.fleet import model, state
@@ -19,8 +22,16 @@
 COLD_TOLERANCE = clock.seconds(0.4)
 
 
+class Effect(enum.Enum):
+    """What a report changes: nothing, the liveness of its endpoint, or the replicated state."""
+
+    OUTDATED = "outdated"
+    RENEWAL = "renewal"
+    CHANGE = "change"
+
+
 class Registry:
-    """The leader's record of endpoints' reports.
+    """A steward's record of endpoints' reports.
 
     Args:
         interval: Time between an endpoint's reports.
@@ -34,28 +45,30 @@
         self._sequence_by_lifetime: dict[tuple[str, int], int] = {}
         self._cold_until_by_id: dict[str, datetime.timedelta] = {}
 
-    def needs_log_entry(
+    def record(
         self, report: model.Endpoint, fleet_state: state.FleetState, now: datetime.timedelta
-    ) -> bool:
-        """Records a report, unless it is outdated; returns whether it needs a log entry."""
+    ) -> Effect:
+        """Records a report, unless it is outdated; returns its effect."""
         latest = fleet_state.latest_report(report.id)
         if (report.born_ms, report.sequence) < latest or report.born_ms < latest[0]:
-            return False
+            return Effect.OUTDATED
         lifetime = (report.id, report.born_ms)
         if report.sequence < self._sequence_by_lifetime.get(lifetime, -1):
-            return False
+            return Effect.OUTDATED
         self._sequence_by_lifetime[lifetime] = report.sequence
         self._reported_at_by_id[report.id] = now
         record = fleet_state.endpoint(report.id)
         if record is None or record.born_ms < report.born_ms:
             self._record_cold(report, now)
-            return True
-        if record.draining:
-            return False
-        if report.draining or self._extends_cold(report, now):
+            return Effect.CHANGE
+        if not record.draining and (report.draining or self._extends_cold(report, now)):
             self._record_cold(report, now)
-            return True
-        return False
+            return Effect.CHANGE
+        return Effect.RENEWAL
+
+    def renew(self, ids: collections.abc.Iterable[str], now: datetime.timedelta) -> None:
+        """Records that endpoints have reported to another steward without a change."""
+        self._reported_at_by_id.update(dict.fromkeys(ids, now))
 
     def _record_cold(self, report: model.Endpoint, now: datetime.timedelta) -> None:
         self._cold_until_by_id[report.id] = now + clock.seconds(report.cold_s)
@@ -77,3 +90,17 @@
             for endpoint in fleet_state.endpoints()
             if now - self._reported_at_by_id.get(endpoint.id, self._started_at) > self._max_silence
         ]
+
+    def prune(self, now: datetime.timedelta) -> None:
+        """Forgets endpoints that have not reported for so long that they count as silent."""
+        expired = {
+            id_ for id_, at in self._reported_at_by_id.items() if now - at > 2 * self._max_silence
+        }
+        for id_ in expired:
+            del self._reported_at_by_id[id_]
+            self._cold_until_by_id.pop(id_, None)
+        self._sequence_by_lifetime = {
+            lifetime: sequence
+            for lifetime, sequence in self._sequence_by_lifetime.items()
+            if lifetime[0] not in expired
+        }
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -141,7 +141,9 @@
         self._supervisor = supervisor.Supervisor()
         self._pool = client.ConnectionPool()
         self._client = client.Client(self._pool)
-        self._server = server.Server(self._serve_peer, on_handler_error=_log_handler_error)
+        self._server = server.Server(
+            self._serve_peer, on_handler_error=_log_handler_error, compresses=True
+        )
         self._state_changed = asyncio.Event()
         self._gateway_list = presence.EMPTY_GATEWAY_LIST
         self._local_gateways = presence.GatewayPresence((), clk.monotonic())
@@ -159,6 +161,10 @@
         self._accounts: dict[str, accounting.Handover] = {}
         self._accounts_at = clock.ZERO
         self._leader_state: _LeaderState | None = None
+        self._registry = registry.Registry(config.report_interval, clk.monotonic())
+        # Endpoints whose liveness the leader has not been told of yet.
+        self._renewed_ids: set[str] = set()
+        self._polled_renewals: set[str] = set()
         self._join_request_by_address: dict[str, log_membership.JoinRequest] = {}
 
     async def start(self) -> None:
@@ -238,6 +244,7 @@
         now = self.clock.monotonic()
         draws = self._branch.draws(now)
         self._polled_draws = draws
+        self._polled_renewals, self._renewed_ids = self._renewed_ids, set()
         return {
             "name": self.config.name,
             "zone": self.config.zone,
@@ -248,6 +255,7 @@
                 for gateway, silence in self._local_gateways.silences(now)
             ],
             "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
+            "renewed": sorted(self._polled_renewals),
             "roll": self._gateway_list.version,
             "accounts_age_s": (now - self._accounts_at).total_seconds(),
         }
@@ -269,6 +277,7 @@
         for organisation, draw in self._polled_draws.items():
             self._branch.ledger(organisation).record_lost_draw(draw)
         self._polled_draws = {}
+        self._renewed_ids |= self._polled_renewals
 
     def _update_state_confirmed_at(self) -> None:
         """Updates the state's confirmation time from polls whose revision has been applied."""
@@ -304,9 +313,11 @@
         while True:
             await asyncio.sleep(UPKEEP_INTERVAL.total_seconds())
             now = self.clock.monotonic()
+            self._registry.prune(now)
             leader_state = self._get_leader_state(now)
             if leader_state is None:
                 continue
+            leader_state.registry.prune(now)
             if now - leader_state.since >= GATEWAY_DISCOVERY_TIME or not self._gateway_list.present:
                 self._set_gateway_list(leader_state.presence.gateway_list(now))
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
@@ -435,6 +446,7 @@
             leader_state.presence.record(
                 presence.Gateway(**document), now - clock.seconds(silence_s)
             )
+        leader_state.registry.renew(body.get("renewed", ()), now)
         holds_lease = self.log.holds_leader_lease(now)
         accounts_are_old = body["accounts_age_s"] > ACCOUNTS_TRANSFER_INTERVAL.total_seconds()
         grants = {
@@ -443,7 +455,9 @@
             )
             for organisation, draw in body["draws"].items()
         }
-        accounts = leader_state.accounts.dump(now) if accounts_are_old else None
+        # Only a voter can become the leader.
+        may_lead = body["identity"] in self.log.replica.members.voters
+        accounts = leader_state.accounts.dump(now) if accounts_are_old and may_lead else None
         # Draws are applied on arrival: later ones could overtake them during the wait that follows.
         await self.log.confirm(DECISION_TIMEOUT)
         return {
@@ -709,12 +723,21 @@
         is_known = f"service/{endpoint.service}" in self.state.table.item_by_subject
         if self.state.version and not is_known:
             raise errors.InvalidInputError(f"unknown service {endpoint.service!r}", step="report")
+        if not self.log.is_leader:
+            # A state that may be old could take an endpoint for present that has been removed.
+            self._require_state_age(MAX_STATE_AGE)
+            effect = self._registry.record(endpoint, self.state, self.clock.monotonic())
+            if effect is registry.Effect.RENEWAL:
+                self._renewed_ids.add(endpoint.id)
+            if effect is not registry.Effect.CHANGE:
+                return
         await self._execute("report", model.to_document(endpoint))
 
     async def _report(self, document: typing.Any) -> typing.Any:
         endpoint = model.Endpoint(**document)
         leader_state = self._require_leader_state()
-        if leader_state.registry.needs_log_entry(endpoint, self.state, self.clock.monotonic()):
+        effect = leader_state.registry.record(endpoint, self.state, self.clock.monotonic())
+        if effect is registry.Effect.CHANGE:
             command = {"kind": "report", "endpoint": document}
             result = await self.log.propose(command, DECISION_TIMEOUT)
             events.emit(
--- a/tests/test_fleet_log_membership.py
+++ b/tests/test_fleet_log_membership.py
@@ -92,7 +92,8 @@
 
     def needs_log_entry(record, after=0.0):
         nonlocal index
-        needed = endpoints.needs_log_entry(record, fleet, NOW + clock.seconds(after))
+        effect = endpoints.record(record, fleet, NOW + clock.seconds(after))
+        needed = effect is registry.Effect.CHANGE
         if needed:
             index += 1
             fleet.apply({"kind": "report", "endpoint": model.to_document(record)}, index)
@@ -116,7 +117,7 @@
     endpoints = registry.Registry(clock.seconds(1.5), NOW)
     assert endpoints.silent(fleet, NOW + clock.seconds(5)) == []
     assert [e.id for e in endpoints.silent(fleet, NOW + clock.seconds(6.5))] == ["e1"]
-    endpoints.needs_log_entry(endpoint(sequence=2), fleet, NOW + clock.seconds(6.6))
+    endpoints.record(endpoint(sequence=2), fleet, NOW + clock.seconds(6.6))
     assert endpoints.silent(fleet, NOW + clock.seconds(12)) == []
 
 
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import shutil
 
@@ -246,3 +247,58 @@
                 await node.report(model.Endpoint("e1", 1, 1, "s", "10.0.0.1:80", "nowhere", 4))
 
     asyncio.run(scenario())
+
+
+def test_reports_that_change_nothing_reach_the_leader_with_the_next_poll_only(tmp_path):
+    """Hundreds of endpoints that report all the time: a report without news costs the leader no
+    call, and the leader still knows that its endpoint is alive."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.configure(update(1, 0)))
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            record = model.Endpoint("e", 1, 1, "s", "127.0.0.1:1", "a", 4)
+            items = {
+                "limits/": model.to_document(model.Limits()),
+                "service/s": model.to_document(model.Service("s", 10, 1.0, 1.0)),
+            }
+            await cluster.retry(
+                lambda n: n.configure(steward.ConfigurationUpdate(2, 1, "s", items, {}))
+            )
+            await cluster.retry(lambda n: n.report(record))
+            await polling.wait_until(lambda: follower.state.endpoint("e") is not None)
+            await polling.wait_until(
+                lambda: follower._state_age(follower.clock.monotonic()) < steward.MAX_STATE_AGE
+            )
+            executed = []
+            follower._execute = lambda operation, arguments: executed.append(operation)
+            registry_of_leader = leader._require_leader_state().registry
+            before = registry_of_leader._reported_at_by_id["e"]
+            for sequence in range(2, 6):
+                await follower.report(dataclasses.replace(record, sequence=sequence))
+            assert executed == []
+            await polling.wait_until(lambda: registry_of_leader._reported_at_by_id["e"] > before)
+
+    asyncio.run(scenario())
+
+
+def test_steward_without_contact_to_the_leader_acknowledges_no_report(tmp_path):
+    """Its state says that the endpoint is known, but nobody tells the leader that it is alive."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.configure(update(1, 0)))
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            for node in list(cluster.by_host.values()):
+                if node is not follower:
+                    await node.stop()
+            await polling.wait_until(
+                lambda: follower._state_age(follower.clock.monotonic()) > steward.MAX_STATE_AGE
+            )
+            follower.state.table.put("service/s", {})
+            with pytest.raises(errors.UnavailableError):
+                await follower.report(model.Endpoint("e", 1, 1, "s", "127.0.0.1:1", "a", 4))
+
+    asyncio.run(scenario())
