Take the choice of an endpoint out of the gateway, and log what prevents it

Cause: a refusal with code full did not say whether the endpoints were full, cold, avoided, or kept back by the limit on changes of region; on the large fleet that is the first question.

Change: fleet.chooser holds the choice, without network; its obstacle is the detail of the log's refusal. The choice itself is as before.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -24,6 +24,7 @@
 )
 from flamingotiller.fleet import (
     accounting,
+    chooser,
     follower,
     forwarding,
     model,
@@ -140,14 +141,13 @@
         self._endpoint_pool = client.ConnectionPool(ENDPOINT_CONNECT_TIMEOUT)
         self._server = server.Server(self._serve, on_handler_error=_log_handler_error)
         self._quota = quota.Quota(clk.monotonic())
-        self._placement = placement.Placement(config.region, config.region_by_zone)
-        self._cold_start_limiter = placement.ColdStartLimiter(
-            config.cold_overage, config.cold_slack
+        self._chooser = chooser.Chooser(
+            config.region,
+            config.region_by_zone,
+            placement.ColdStartLimiter(config.cold_overage, config.cold_slack),
+            spill.SpillLimiter(config.max_region_shift, rng.random()),
         )
-        self._spill_limiter = spill.SpillLimiter(config.max_region_shift, rng.random())
         self._splitter_by_route: dict[str, placement.Splitter] = {}
-        self._health_by_id: dict[str, placement.EndpointHealth] = {}
-        self._error_rate_by_service: dict[str, placement.ServiceErrorRate] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
         self._peer_client = client.Client(self._peer_pool)
@@ -256,15 +256,12 @@
         for organisation, grant in response["grants"].items():
             self._quota.receive(organisation, accounting.Grant(*grant))
         place = presence.Place(**response["place"])
-        self._cold_start_limiter.position, self._cold_start_limiter.count = (
-            place.position,
-            place.count,
-        )
+        self._chooser.set_place(place.position, place.count)
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
 
     def _retry_reserve(self) -> float:
-        share = FLEET_RETRY_RESERVE / max(1, self._cold_start_limiter.count)
+        share = FLEET_RETRY_RESERVE / max(1, self._chooser.gateway_count)
         return min(MAX_RETRY_RESERVE, max(MIN_RETRY_RESERVE, share))
 
     def _apply_items(self, response: dict[str, typing.Any], now: datetime.timedelta) -> None:
@@ -274,14 +271,9 @@
             self.view.replace(items)
         else:
             self.view.update(items)
-        self._placement.invalidate()
-        for id_, endpoint in self.view.endpoint_by_id.items():
-            if before.get(id_) != endpoint:
-                self._update_endpoint(before.get(id_), endpoint, now)
-        for id_ in before.keys() - self.view.endpoint_by_id.keys():
-            self._health_by_id.pop(id_, None)
+        self._chooser.on_view_changed(before, self.view.endpoint_by_id, now)
         if any(key.startswith((model.EVACUATION, model.ENDPOINT)) for key in items):
-            self._spill_limiter.suspend(now)
+            self._chooser.suspend_spill_limit(now)
         self._apply_server_limits()
         events.emit(
             events.STATE_IN_FORCE,
@@ -293,15 +285,6 @@
             age_s=self._staleness_s(now),
         )
 
-    def _update_endpoint(
-        self, before: model.Endpoint | None, endpoint: model.Endpoint, now: datetime.timedelta
-    ) -> None:
-        """Resets what was observed of a restarted endpoint, and records until when it is cold."""
-        if before is None or before.born_ms != endpoint.born_ms:
-            self._health_by_id[endpoint.id] = placement.EndpointHealth()
-        health = self._health_by_id.setdefault(endpoint.id, placement.EndpointHealth())
-        health.cold_until = now + clock.seconds(endpoint.cold_s)
-
     def _apply_server_limits(self) -> None:
         limits = self.view.limits
         self._server.limits = server.Limits(
@@ -503,10 +486,12 @@
         # An endpoint's error response, delivered unless a retry succeeds.
         error_response: forwarding.Response | None = None
         while True:
-            endpoint = self._choose_endpoint(job, excluded)
+            choice = self._choose_endpoint(job, excluded)
+            endpoint = choice.endpoint
             if endpoint is None:
                 if error_response is not None:
                     return error_response
+                trace.obstacle = choice.obstacle
                 raise self._no_endpoint(job, dispatch_state, failure)
             excluded.append(endpoint.id)
             trace.endpoint, trace.attempts = endpoint.id, len(excluded)
@@ -535,39 +520,16 @@
 
     def _choose_endpoint(
         self, job: forwarding.Job, excluded: collections.abc.Collection[str]
-    ) -> model.Endpoint | None:
-        """Returns the endpoint to try next, None if all that may serve the object are full."""
-        now = self.clock.monotonic()
-        order = self._placement.order(
-            self.view, job.service, job.object, self._allowed_regions(job)
+    ) -> chooser.Choice:
+        return self._chooser.choose(
+            self.view,
+            job.service,
+            job.object,
+            job.rank,
+            self._allowed_regions(job),
+            excluded,
+            self.clock.monotonic(),
         )
-        preferred = self._placement.preferred(order, self._health_by_id, excluded, now)
-        shift_limited = len(preferred) > 1 and not excluded
-        if shift_limited and self._spill_limiter.must_spill(now):
-            chosen = self._first_with_capacity(job, [*preferred[1:], preferred[0]], now)
-        elif shift_limited and not self._spill_limiter.may_spill(now):
-            chosen = self._first_with_capacity(job, preferred[:1], now)
-        else:
-            chosen = self._first_with_capacity(job, preferred, now)
-        if chosen is not None:
-            self._spill_limiter.record(chosen is not preferred[0], now)
-        return chosen
-
-    def _first_with_capacity(
-        self, job: forwarding.Job, candidates: list[model.Endpoint], now: datetime.timedelta
-    ) -> model.Endpoint | None:
-        """Returns the first endpoint with capacity; a cold one is charged with the request."""
-        service = self.view.service_by_name.get(job.service)
-        rate = service.cold_rate if service is not None else 0.0
-        for endpoint in candidates:
-            health = self._health_by_id[endpoint.id]
-            if health.estimated_load(now) >= endpoint.slots * placement.utilisation_limit(job.rank):
-                continue
-            cold = now < health.cold_until and rate > 0
-            if cold and not self._cold_start_limiter.try_acquire(endpoint.id, rate, now):
-                continue
-            return endpoint
-        return None
 
     def _allowed_regions(self, job: forwarding.Job) -> frozenset[str]:
         """Returns the regions that may serve a job; an empty set allows all."""
@@ -604,7 +566,7 @@
         reply: server.Reply,
         endpoint: model.Endpoint,
     ) -> forwarding.Response | None:
-        health = self._health_by_id[endpoint.id]
+        health = self._chooser.health_by_id[endpoint.id]
         attempt = forwarding.Attempt(
             self._endpoint_pool, self._dialect, self.clock, job, dispatch_state, endpoint
         )
@@ -620,7 +582,7 @@
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
         failed = _is_server_error(response)
-        error_rate = self._error_rate_of(job.service)
+        error_rate = self._chooser.error_rate_of(job.service)
         error_rate.record(failed)
         if failed:
             if health.on_error(self.clock.monotonic(), error_rate.value):
@@ -656,7 +618,7 @@
         elif isinstance(error, dispatch.ShedError):
             # Shedding is normal for a full endpoint; one with capacity sheds for another reason.
             has_capacity = load is not None and load.running + load.waiting < endpoint.slots
-            error_rate = self._error_rate_of(job.service)
+            error_rate = self._chooser.error_rate_of(job.service)
             error_rate.record(has_capacity)
             avoided = has_capacity and health.on_error(now, error_rate.value)
         elif isinstance(error, errors.ExchangeTimeoutError):
@@ -667,13 +629,10 @@
         if avoided:
             self._on_endpoint_avoided(endpoint, health, type(error).__name__)
 
-    def _error_rate_of(self, service: str) -> placement.ServiceErrorRate:
-        return self._error_rate_by_service.setdefault(service, placement.ServiceErrorRate())
-
     def _on_endpoint_avoided(
         self, endpoint: model.Endpoint, health: placement.EndpointHealth, reason: str
     ) -> None:
-        self._spill_limiter.suspend(self.clock.monotonic())
+        self._chooser.suspend_spill_limit(self.clock.monotonic())
         self._endpoint_pool.forget(endpoint.address)
         events.emit(
             events.ENDPOINT_AVOIDED,
@@ -701,7 +660,7 @@
             "organisation": trace.organisation,
             "status": error.status,
             "code": error.code,
-            "detail": str(error.__cause__ or ""),
+            "detail": str(error.__cause__ or (trace.obstacle.value if trace.obstacle else "")),
             "ms": self._ms_since(trace.arrived_at),
             "tries": trace.attempts,
             "revision": self.revision,
@@ -760,6 +719,7 @@
     organisation: str = ""
     endpoint: str = ""
     attempts: int = 0
+    obstacle: chooser.Obstacle | None = None
 
 
 def _is_server_error(response: forwarding.Response | None) -> bool:
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -430,7 +430,7 @@
 
     async def work():
         async with GatewayHarness() as harness:
-            harness.gateway._cold_start_limiter.count = count
+            harness.gateway._chooser.set_place(0, count)
             reserve = harness.gateway._retry_reserve()
             assert 1 <= reserve <= gateway.MAX_RETRY_RESERVE
             assert reserve * count <= max(gateway.FLEET_RETRY_RESERVE, count)
