Send large changes once, and do not copy them for each member

Each message to a member made a deep copy of its entries (dataclasses.asdict), and each heartbeat sent every entry again that was not acknowledged yet. An update whose base a steward had not applied went to the leader whole, twice its size.

Change: messages and documents are not copied; entries on their way are sent again after two heartbeats; a steward waits up to 0.3 s for an update's base and then sends the difference.

--- a/flamingotiller/fleet/model.py
+++ b/flamingotiller/fleet/model.py
@@ -141,11 +141,15 @@
 
 def to_document(item: typing.Any) -> Document:
     """Returns the JSON form of one of this module's data classes."""
-    document = dataclasses.asdict(item)
-    for name, value in document.items():
-        if isinstance(value, frozenset):
-            document[name] = sorted(value)
-    return document
+    return {name: _to_json(value) for name, value in vars(item).items()}
+
+
+def _to_json(value: typing.Any) -> typing.Any:
+    if isinstance(value, frozenset):
+        return sorted(value)
+    if isinstance(value, tuple):
+        return [vars(part) if isinstance(part, WeightedService) else part for part in value]
+    return value
 
 
 def route_from_document(document: Document) -> Route:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -60,6 +60,8 @@
 # Draws from the leader per call: other gateways may take the tokens that the first one brings.
 MAX_DRAWS_PER_CALL = 2
 DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
+# How long a steward waits for an update's base version before it passes the whole update on.
+BASE_VERSION_TIMEOUT = clock.seconds(0.3)
 # A new leader publishes its list of gateways only after gateways have had this long to reach it.
 GATEWAY_DISCOVERY_TIME = clock.seconds(1.5)
 
@@ -643,13 +645,22 @@
         Raises:
             errors.FlamingotillerError: The outcome is not known; the update may be sent again.
         """
-        base_is_applied = self.state.version == update.base
-        operation = "propose" if base_is_applied else "configure"
-        arguments = (
-            self._configure_command(update) if base_is_applied else dataclasses.asdict(update)
+        await self._wait_for_version(update.base)
+        # The leader needs the whole update only if it is the only one that has applied the base.
+        operation, arguments = (
+            ("configure", vars(update))
+            if update.base > self.state.version
+            else ("propose", self._configure_command(update))
         )
         return await self._execute_order("configure", str(update.version), operation, arguments)
 
+    async def _wait_for_version(self, version: int) -> None:
+        """Waits for a moment until a version has been applied here."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(BASE_VERSION_TIMEOUT.total_seconds()):
+                while self.state.version < version:
+                    await self._state_changed.wait()
+
     def _configure_command(self, update: ConfigurationUpdate) -> dict[str, typing.Any]:
         """Returns the log command of an update: a patch of its base version, without patches if
         the base is not the version applied here."""
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -15,6 +15,8 @@
 from flamingotiller import clock, errors, journal, replica_messages
 
 MAX_ENTRIES_PER_APPEND = 256
+# Entries that a member has not acknowledged are sent again after this many heartbeats.
+RETRANSMIT_HEARTBEATS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,6 +44,7 @@
         acked_at: Monotonic time of the member's last reply.
         sent_through: Index of the last entry sent to the member, 0 if entries have to be sent
             again.
+        sent_at: Monotonic time at which entries were last sent.
     """
 
     next_index: int
@@ -49,6 +52,7 @@
     acked_round: int = 0
     acked_at: datetime.timedelta = clock.ZERO
     sent_through: int = 0
+    sent_at: datetime.timedelta = clock.ZERO
 
 
 @dataclasses.dataclass(frozen=True)
@@ -403,7 +407,7 @@
         self._confirm()
         is_behind = progress.next_index <= self.store.last_index
         if is_behind and progress.sent_through < progress.next_index:
-            self._send_append(reply.follower)
+            self._send_append(reply.follower, now)
 
     # Leader
 
@@ -415,26 +419,41 @@
         return progress
 
     def broadcast(self, now: datetime.timedelta) -> None:
-        """Sends every other member its missing entries, or a heartbeat if it has all of them."""
+        """Sends every other member its missing entries, or a heartbeat if it has all of them or
+        they are on their way."""
         self._heartbeat_due = now + self.timing.heartbeat
         self._round += 1
         self._pending_rounds[self._round] = (now, self.commit)
         members = self.members
         for identity in (*members.voters, *members.learners):
             if identity != self.identity:
-                self._progress(identity).sent_through = 0
-                self._send_append(identity)
+                self._send_missing(identity, now)
         self._confirm()
 
-    def _send_append(self, identity: str) -> None:
+    def _send_missing(self, identity: str, now: datetime.timedelta) -> None:
+        progress = self._progress(identity)
+        in_flight = progress.sent_through >= progress.next_index
+        retransmit_at = progress.sent_at + RETRANSMIT_HEARTBEATS * self.timing.heartbeat
+        if in_flight and now < retransmit_at and progress.match >= self.store.snapshot.index:
+            self._send_entries(identity, progress.match, [])
+            return
+        progress.sent_through = 0
+        self._send_append(identity, now)
+
+    def _send_append(self, identity: str, now: datetime.timedelta) -> None:
         progress = self._progress(identity)
         previous = progress.next_index - 1
         if previous < self.store.snapshot.index:
+            progress.sent_at = now
             self._send_snapshot(identity, progress)
             return
         entries = self.store.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
         if entries:
             progress.sent_through = entries[-1].index
+            progress.sent_at = now
+        self._send_entries(identity, previous, entries)
+
+    def _send_entries(self, identity: str, previous: int, entries: list[journal.Entry]) -> None:
         message = replica_messages.Append(
             term=self.store.term,
             leader=self.identity,
--- a/flamingotiller/replica_messages.py
+++ b/flamingotiller/replica_messages.py
@@ -115,8 +115,11 @@
 
 
 def message_to_wire(message: Message) -> dict[str, typing.Any]:
-    """Returns the JSON representation of a message."""
-    return {"type": type(message).__name__, **dataclasses.asdict(message)}
+    """Returns the JSON representation of a message.
+
+    Entries and states are not copied; they are JSON values already, and may be large.
+    """
+    return {"type": type(message).__name__, **vars(message)}
 
 
 def message_from_wire(document: typing.Any) -> Message:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -362,3 +362,32 @@
     history(replica.Replica)
     with pytest.raises((AssertionError, errors.StorageError)):
         history(faulty_class)
+
+
+def sent_entries(node):
+    appends = [m for _, m in node.outbox if isinstance(m, replica_messages.Append)]
+    node.outbox.clear()
+    return [len(m.entries) for m in appends]
+
+
+def test_entries_on_their_way_are_sent_again_only_after_some_heartbeats():
+    """A large change: sent again with each heartbeat, it would keep leader and links busy."""
+    cluster = replica_cluster.Cluster(3)
+    cluster.run(3)
+    node, now = cluster.nodes[cluster.leader()], cluster.now
+    node.propose({"n": 1}, now)
+    node.broadcast(now)
+    assert sent_entries(node) == [1, 1]
+    heartbeat = replica_cluster.TIMING.heartbeat
+    node.broadcast(now + heartbeat)
+    assert sent_entries(node) == [0, 0]
+    node.broadcast(now + replica.RETRANSMIT_HEARTBEATS * heartbeat)
+    assert sent_entries(node) == [1, 1]
+
+
+def test_large_entry_is_not_copied_for_each_member():
+    body = {"routes": {str(n): {"host": "h"} for n in range(10)}}
+    message = replica_messages.Append(1, "n0", 0, 0, [[1, 1, "command", body]], 0, 1)
+    document = replica_messages.message_to_wire(message)
+    assert document["entries"][0][3] is body
+    assert replica_messages.message_from_wire(document) == message
