Log the bytes of each kind of exchange

Cause: bytes between zones and regions are the largest price of large fleets, and nothing told which exchanges they are.

Change: every 10 s a process logs what it has sent and received by kind: calls by path, endpoints by distance (zone, region, remote).

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -168,10 +168,14 @@
     Args:
         pool: Connection pool to use.
         token: Bearer token sent with each request, or None.
+
+    Attributes:
+        traffic_by_target: Bytes of completed exchanges, by path.
     """
 
     def __init__(self, pool: ConnectionPool, token: str | None = None) -> None:
         self.pool = pool
+        self.traffic_by_target: dict[str, wire.Traffic] = {}
         self._token = token
         # Peers that have said that they understand compressed bodies.
         self._compressing_peers: set[str] = set()
@@ -243,6 +247,7 @@
             connection, reused = await self.pool.acquire(peer)
             try:
                 response = await self._exchange_on(connection, head, data, timeout)
+                self._count_traffic(head, connection)
             except errors.ConnectionLostError:
                 self.pool.discard(peer, connection)
                 # The peer may have closed a reused connection while it was idle. Retrying is safe
@@ -256,6 +261,12 @@
             self.pool.release(peer, connection)
             return response
 
+    def _count_traffic(self, head: h11.Request, connection: wire.Connection) -> None:
+        path = head.target.partition(b"?")[0].decode("ascii")
+        traffic = self.traffic_by_target.setdefault(path, wire.Traffic())
+        traffic.written += connection.bytes_written
+        traffic.read += connection.bytes_read
+
     async def _exchange_on(self, connection, head, data, timeout) -> Response:
         await connection.send(head, *([h11.Data(data=data)] if data else []), h11.EndOfMessage())
         head_event = await connection.next_event(timeout)
--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -70,6 +70,8 @@
     "look for an overloaded or frozen instance",
 )
 
+TRAFFIC_COUNTED = _define(1010, _INFO, "bytes sent and received since the start", "by_kind")
+
 ELECTION_STARTED = _define(2001, _INFO, "election started", "term")
 LEADER_ELECTED = _define(2002, _INFO, "this instance leads the log", "term index")
 LEADERSHIP_LOST = _define(
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -111,6 +111,7 @@
 
     Attributes:
         load: Load that the endpoint reported with its response, None if it reported none.
+        traffic: Bytes exchanged with the endpoint.
     """
 
     def __init__(
@@ -129,6 +130,7 @@
         self._dispatch_state = dispatch_state
         self._endpoint = endpoint
         self.load: placement.Load | None = None
+        self.traffic = wire.Traffic()
 
     def _remaining(self, grace: datetime.timedelta = clock.ZERO) -> datetime.timedelta:
         remaining = self._job.deadline + grace - self._clock.monotonic()
@@ -164,17 +166,23 @@
             not_run = self._not_run_error(head)
             response = await self._read_body(link, head, reply)
         except errors.TransportError as error:
+            self._count_traffic(link)
             self._pool.discard(address, link)
             # The head alone tells that the request did not run, whatever becomes of the body.
             raise not_run or error from error
         except BaseException:
+            self._count_traffic(link)
             self._pool.discard(address, link)
             raise
+        self._count_traffic(link)
         self._pool.release(address, link, idle_timeout=keep_alive_timeout(head))
         if not_run:
             raise not_run
         return response
 
+    def _count_traffic(self, link: wire.Connection) -> None:
+        self.traffic.written, self.traffic.read = link.bytes_written, link.bytes_read
+
     async def _send(self, link: wire.Connection) -> None:
         job = self._job
         events: list[h11.Event] = [self._head()]
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -21,6 +21,7 @@
     metrics,
     server,
     supervisor,
+    wire,
 )
 from flamingotiller.fleet import (
     accounting,
@@ -151,6 +152,9 @@
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
         self._peer_client = client.Client(self._peer_pool)
+        self._endpoint_traffic_by_distance = {
+            distance: wire.Traffic() for distance in ("zone", "region", "remote")
+        }
         self._zone_by_steward: dict[str, str] = {}
         self._polled_draws: dict[str, accounting.Draw] = {}
         self._follower = follower.Follower(
@@ -183,6 +187,10 @@
         """Applies the settings that may change at runtime: the seeds."""
         self._follower.set_seeds(config.seeds)
 
+    def traffic_by_kind(self) -> dict[str, wire.Traffic]:
+        """Returns the bytes of calls of stewards by path, and of endpoints by how far they are."""
+        return self._peer_client.traffic_by_target | self._endpoint_traffic_by_distance
+
     async def stop(self) -> None:
         """Stops gracefully: asks callers to disconnect, then finishes requests in flight."""
         self.stopping = True
@@ -234,11 +242,17 @@
 
     def _steward_distance(self, steward: str) -> int:
         """Returns 0 for a steward in this zone, 1 for one in this region, 2 for any other."""
-        zone = self._zone_by_steward.get(steward, "")
+        return self._distance(self._zone_by_steward.get(steward, ""))
+
+    def _distance(self, zone: str) -> int:
+        """Returns 0 for this zone, 1 for another one of this region, 2 for any other."""
         if zone == self.config.zone:
             return 0
         return 1 if self.config.region_by_zone.get(zone) == self.config.region else 2
 
+    def _distance_name(self, zone: str) -> str:
+        return ("zone", "region", "remote")[self._distance(zone)]
+
     def _on_poll_response(self, response: dict[str, typing.Any], as_of: datetime.timedelta) -> None:
         now = self.clock.monotonic()
         self._zone_by_steward = response["zones"]
@@ -579,6 +593,9 @@
             raise
         finally:
             health.in_flight -= 1
+            traffic = self._endpoint_traffic_by_distance[self._distance_name(endpoint.zone)]
+            traffic.written += attempt.traffic.written
+            traffic.read += attempt.traffic.read
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
         failed = _is_server_error(response)
--- a/flamingotiller/fleet/program.py
+++ b/flamingotiller/fleet/program.py
@@ -10,13 +10,14 @@
 import signal
 import typing
 
-from flamingotiller import __version__, clock, errors, events, log_sink, metrics, server
+from flamingotiller import __version__, clock, errors, events, log_sink, metrics, server, wire
 
 # The settings file is checked for changes this often, since it may change without a signal.
 SETTINGS_CHECK_INTERVAL = clock.seconds(2)
 # A tick later than this is logged: after it the process acts on outdated state for a moment.
 TICK_DELAY_THRESHOLD = clock.seconds(0.5)
 TICK = clock.seconds(0.25)
+TRAFFIC_INTERVAL = clock.seconds(10)
 MAX_BODY_BYTES = 32 * 1024 * 1024
 
 
@@ -34,6 +35,9 @@
     def reconfigure(self, config: typing.Any) -> None:
         """Applies changed settings."""
 
+    def traffic_by_kind(self) -> dict[str, wire.Traffic]:
+        """Returns the bytes that the program has sent and received, by kind of exchange."""
+
 
 @dataclasses.dataclass(frozen=True)
 class HostedProgram:
@@ -150,9 +154,10 @@
     reload: asyncio.Event,
     clk: clock.Clock,
 ) -> None:
-    """Reloads changed settings and logs when the process was not scheduled for some time."""
+    """Reloads changed settings, logs the traffic now and then, and logs when the process was not
+    scheduled for some time."""
     last_content = _read_or_empty(path)
-    checked_at = ticked_at = clk.monotonic()
+    checked_at = ticked_at = counted_at = clk.monotonic()
     while True:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(TICK.total_seconds()):
@@ -162,6 +167,9 @@
         ticked_at = now
         if delay > TICK_DELAY_THRESHOLD:
             events.emit(events.EVENT_LOOP_STALLED, late_s=round(delay.total_seconds(), 3))
+        if now - counted_at >= TRAFFIC_INTERVAL:
+            counted_at = now
+            _log_traffic(program)
         if not reload.is_set() and now - checked_at < SETTINGS_CHECK_INTERVAL:
             continue
         reason = "HUP" if reload.is_set() else "file"
@@ -170,6 +178,11 @@
         last_content = _reload(program, load, path, last_content, reason)
 
 
+def _log_traffic(program: Program) -> None:
+    by_kind = {k: [t.written, t.read] for k, t in sorted(program.traffic_by_kind().items())}
+    events.emit(events.TRAFFIC_COUNTED, by_kind=by_kind)
+
+
 def _read_or_empty(path: pathlib.Path) -> bytes:
     try:
         return path.read_bytes()
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -26,6 +26,7 @@
     replica_messages,
     server,
     supervisor,
+    wire,
 )
 from flamingotiller.fleet import (
     accounting,
@@ -208,6 +209,10 @@
         self.config = dataclasses.replace(self.config, seeds=config.seeds)
         self._follower.set_seeds(self._other_seeds())
 
+    def traffic_by_kind(self) -> dict[str, wire.Traffic]:
+        """Returns the bytes of calls that this steward has made, by path."""
+        return self._client.traffic_by_target
+
     async def stop(self) -> None:
         """Stops all tasks and servers; everything acknowledged is already on disk."""
         await self._stack.aclose()
