Answer requests that have arrived when a planned stop begins

Cause: a stop closed each connection whose task did not serve a request yet, also one whose bytes had been read, and connections that the kernel had accepted and the process had not.

Change: such a connection is served first; before it stops listening, the event loop takes what the kernel has accepted.

Before: both tests of tests/test_server.py for this fail, on connections closed without an answer. After: they pass.

--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -30,6 +30,10 @@
 }  # fmt: skip
 
 
+# Rounds of the event loop in which a new connection is accepted, opened and read.
+ACCEPT_ROUNDS = 10
+
+
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Limits of a server.
@@ -379,8 +383,10 @@
     async def _serve(self, connection: wire.Connection) -> None:
         timeout = self.limits.head_timeout
         try:
-            while not self._draining and await self._serve_one(connection, timeout):
+            while await self._serve_one(connection, timeout):
                 timeout = self.limits.idle_timeout
+                if self._draining and not connection.has_unread_data:
+                    break
         except (errors.FlamingotillerError, asyncio.CancelledError):
             connection.abort()
         except Exception as error:  # noqa: BLE001 - an error in one request ends only that request
@@ -456,10 +462,14 @@
         self._keep_alive_disabled = True
 
     def start_draining(self) -> None:
-        """Adds ``Connection: close`` to all further responses and closes idle connections."""
+        """Adds ``Connection: close`` to all further responses and closes idle connections.
+
+        A connection with data that its task has not read yet is not idle: it is closed after the
+        response to that request.
+        """
         self._draining = True
         for connection in list(self._task_by_connection):
-            if connection not in self._busy:
+            if connection not in self._busy and not connection.has_unread_data:
                 connection.close()
 
     def stop_listening(self) -> None:
@@ -475,6 +485,9 @@
 
     async def close(self, grace: datetime.timedelta = clock.ZERO) -> None:
         """Stops listening, waits up to ``grace`` for requests in flight, then cancels the rest."""
+        # The event loop first accepts what the kernel has accepted, and reads what has arrived.
+        for _ in range(ACCEPT_ROUNDS):
+            await asyncio.sleep(0)
         self.stop_listening()
         self.start_draining()
         tasks = list(self._task_by_connection.values())
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -95,6 +95,11 @@
         assert self._transport is not None
         return self._transport
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether data has arrived that no task has read as an event yet."""
+        return bool(self.h11.trailing_data[0])
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; part of ``asyncio.Protocol``."""
         self._transport = typing.cast(asyncio.Transport, transport)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -202,3 +203,45 @@
         assert (await response).startswith(b"HTTP/1.1 200")
 
     asyncio.run(scenario())
+
+
+async def ok(request, reply):
+    await reply.json(200, {})
+
+
+def test_request_that_has_just_arrived_is_answered_when_a_stop_begins():
+    """A planned stop under load: the bytes are read, but the connection's task has not run yet."""
+
+    async def scenario():
+        answered = 0
+        for rounds in range(30):
+            http_server = server.Server(ok)
+            port = await http_server.start("127.0.0.1", 0)
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"{}")
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            # The stop begins after another number of rounds of the event loop each time.
+            for _ in range(rounds % 6):
+                await asyncio.sleep(0)
+            stop = asyncio.ensure_future(http_server.close(clock.seconds(2)))
+            response = await reader.read()
+            answered += response.endswith(b"{}")
+            await stop
+            writer.close()
+        assert answered == 30
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_connection_that_the_kernel_has_accepted_is_served_when_a_stop_begins():
+    async def scenario():
+        http_server = server.Server(ok)
+        port = await http_server.start("127.0.0.1", 0)
+        with socket.create_connection(("127.0.0.1", port)) as early:
+            early.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            await http_server.close(clock.seconds(2))
+            early.settimeout(5)
+            assert early.recv(1000).startswith(b"HTTP/1.1 200")
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
