Look at permissions again after a wait; end a stop with the grace period; bound digits

Causes: a key or route that was withdrawn while a request's body arrived or a token was drawn was still acted on. A stop ended 5.5 s after it began whatever the grace period, so requests of seconds were cut off. A superscript digit passes isdigit and fails int: in Keep-Alive or the load of an endpoint it cut off the caller's answer, in a deadline it gave 400, and so did 5,000 digits. The task that follows the settings file was not supervised.

--- a/flamingotiller/claims.py
+++ b/flamingotiller/claims.py
@@ -72,7 +72,7 @@
     if len(parts) != 7 or parts[0] != _PREFIX or not parts[6]:
         return None
     if not (
-        parts[3].isascii() and parts[3].isdigit() and parts[4].isascii() and parts[4].isdigit()
+        parts[3].isascii() and parts[3].isdecimal() and parts[4].isascii() and parts[4].isdecimal()
     ):
         return None
     return IssuedId(parts[1], parts[2], int(parts[3]), int(parts[4]))
--- a/flamingotiller/control_routes.py
+++ b/flamingotiller/control_routes.py
@@ -217,7 +217,7 @@
 
 
 def _parse_limit(text: str) -> int:
-    if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= MAX_AUDIT_ROWS:
+    if not text.isascii() or not text.isdecimal() or not 1 <= int(text) <= MAX_AUDIT_ROWS:
         raise errors.InvalidInputError(
             f"limit: expected 1 to {MAX_AUDIT_ROWS}, got {text!r}", step="audit"
         )
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -337,7 +337,7 @@
     value = wire.header(head.headers, b"keep-alive")
     for part in (value or "").split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
+        if name.lower() == "timeout" and number.strip().isdecimal() and len(number) < 9:
             return clock.seconds(float(number))
     return None
 
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -43,6 +43,7 @@
 MAX_VIEW_AGE_FOR_REJECTION = clock.seconds(1.5)
 ENDPOINT_CONNECT_TIMEOUT = clock.seconds(0.3)
 DEFAULT_CALLER_TIMEOUT = clock.seconds(30)
+MAX_DEADLINE_DIGITS = 9
 # Longer request bodies are streamed to the endpoint, and such requests are not retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
 # Retries per first attempt; well below the operator's bound, which counts all gateways together.
@@ -66,9 +67,10 @@
 MAX_DRAWS_PER_REQUEST = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw from the leader
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
-# that names it. After that, requests in flight have the timeout to finish.
+# that names it. After that, requests in flight have the rest of the grace period to finish, but for
+# the margin, in which the process ends.
 SHUTDOWN_DELAY = clock.seconds(3.5)
-SHUTDOWN_TIMEOUT = clock.seconds(2)
+SHUTDOWN_MARGIN = clock.seconds(0.4)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,6 +91,7 @@
         cold_slack: Requests per second that may be sent in addition.
         max_region_shift: Largest change, from one window to the next, of the fraction of a
             region's requests that run in other regions.
+        grace_period: Time from the request to stop until the process is killed.
     """
 
     name: str
@@ -102,6 +105,7 @@
     cold_overage: float
     cold_slack: float
     max_region_shift: float
+    grace_period: datetime.timedelta = clock.seconds(6)
 
 
 class Gateway:
@@ -196,8 +200,11 @@
         self.stopping = True
         events.emit(events.STOP_BEGAN, signal="TERM", in_flight=self._server.request_count)
         self._server.disable_keep_alive()
-        await asyncio.sleep(SHUTDOWN_DELAY.total_seconds())
-        await self._server.close(SHUTDOWN_TIMEOUT)
+        delay = min(SHUTDOWN_DELAY, self.config.grace_period / 2)
+        await asyncio.sleep(delay.total_seconds())
+        await self._server.close(
+            max(clock.ZERO, self.config.grace_period - delay - SHUTDOWN_MARGIN)
+        )
         unfinished = self._server.request_count
         await self._stack.aclose()
         events.emit(events.STOP_ENDED, in_flight=unfinished)
@@ -343,8 +350,10 @@
         route = self._find_route(request, trace)
         organisation = self._authenticate(request, route, trace)
         job = self._make_job(request, route, organisation, trace)
+        revision = self.revision
         await self._read_body(job)
         await self._admit(job)
+        self._check_still_permitted(job, revision, trace)
         try:
             response = await self._dispatch(job, dispatch_state, reply, trace)
         except BaseException:
@@ -386,6 +395,27 @@
         trace.organisation = organisation.name
         return organisation
 
+    def _check_still_permitted(self, job: forwarding.Job, revision: int, trace: _Trace) -> None:
+        """Checks a request again that waited for its body or a token meanwhile.
+
+        Its key may have been withdrawn, its route removed, or the view may be too old by now.
+
+        Raises:
+            errors.RefusedError: The request is no longer permitted as it was.
+        """
+        try:
+            if self.revision != revision:
+                job.route = self._find_route(job.request, trace)
+            organisation = self._authenticate(job.request, job.route, trace)
+            if organisation != job.organisation or all(
+                part.service != job.service for part in job.route.parts
+            ):
+                raise _refused(503, "changed", retry_after_s=STALE_VIEW_RETRY_AFTER_S)
+        except errors.RefusedError:
+            if job.organisation is not None:
+                self._quota.refund(job.organisation.name)
+            raise
+
     def _make_job(
         self,
         request: server.Request,
@@ -761,9 +791,9 @@
 def _caller_timeout(request: server.Request, header: str) -> datetime.timedelta:
     """Returns how long the caller waits; the default if the header is missing or malformed."""
     value = request.header(header) or ""
-    if not value.isdigit():
+    if not value.isdecimal() or len(value) > MAX_DEADLINE_DIGITS:
         return DEFAULT_CALLER_TIMEOUT
-    return datetime.timedelta(milliseconds=min(int(value), 86_400_000))
+    return datetime.timedelta(milliseconds=int(value))
 
 
 def _log_handler_error(error: BaseException, peer: str) -> None:
--- a/flamingotiller/fleet/program.py
+++ b/flamingotiller/fleet/program.py
@@ -10,7 +10,17 @@
 import signal
 import typing
 
-from flamingotiller import __version__, clock, errors, events, log_sink, metrics, server, wire
+from flamingotiller import (
+    __version__,
+    clock,
+    errors,
+    events,
+    log_sink,
+    metrics,
+    server,
+    supervisor,
+    wire,
+)
 
 # The settings file is checked for changes this often, since it may change without a signal.
 SETTINGS_CHECK_INTERVAL = clock.seconds(2)
@@ -121,8 +131,9 @@
             address=identity.host,
             version=__version__,
         )
-        watch_task = asyncio.ensure_future(_watch(hosted.program, load, settings_path, reload, clk))
-        stack.callback(watch_task.cancel)
+        tasks = supervisor.Supervisor()
+        stack.push_async_callback(tasks.close)
+        tasks.spawn("watch", lambda: _watch(hosted.program, load, settings_path, reload, clk))
         await stop.wait()
 
 
--- a/flamingotiller/platform/__main__.py
+++ b/flamingotiller/platform/__main__.py
@@ -20,7 +20,7 @@
 
 def main(arguments: list[str]) -> int:
     """Runs the role named by the first argument and returns the exit code."""
-    if len(arguments) != 2 or arguments[0] not in MODULE_BY_ROLE or not arguments[1].isdigit():
+    if len(arguments) != 2 or arguments[0] not in MODULE_BY_ROLE or not arguments[1].isdecimal():
         roles = ", ".join(MODULE_BY_ROLE)
         print(f"expected a role ({roles}) and a metrics port", file=sys.stderr)
         return errors.InvalidInputError.exit_code
--- a/flamingotiller/platform/headers.py
+++ b/flamingotiller/platform/headers.py
@@ -10,7 +10,7 @@
 def parse_load(value: str) -> placement.Load | None:
     """Parses an endpoint's load, ``running,waiting,slots``; returns None if it is malformed."""
     parts = value.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(p.strip().isdecimal() and len(p) < 9 for p in parts):
         return None
     return placement.Load(int(parts[0]), int(parts[1]))
 
--- a/flamingotiller/platform/settings_file.py
+++ b/flamingotiller/platform/settings_file.py
@@ -117,7 +117,7 @@
             errors.SettingsError: The port range is missing or is not a number.
         """
         ports = self._list("internalPortRange")[:1]
-        if not ports or not ports[0].isdigit():
+        if not ports or not ports[0].isdecimal():
             raise errors.SettingsError("internalPortRange: expected two ports", step="settings")
         return int(ports[0])
 
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -465,7 +465,7 @@
     text = request.header("flamingotiller-deadline-ms")
     if text is None:
         return route.deadline
-    if not text.isascii() or not text.isdigit() or int(text) < MIN_DEADLINE_MS:
+    if not text.isascii() or not text.isdecimal() or int(text) < MIN_DEADLINE_MS:
         raise _bad_request("flamingotiller-deadline-ms: expected a positive whole number")
     return min(route.deadline, datetime.timedelta(milliseconds=min(int(text), 3_600_000)))
 
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -1,6 +1,7 @@
 """A gateway over real sockets: forwarding, refusals, and whether refusals tell the truth."""
 
 import asyncio
+import dataclasses
 
 import fleet_fakes
 import pytest
@@ -436,3 +437,90 @@
             assert reserve * count <= max(gateway.FLEET_RETRY_RESERVE, count)
 
     run(work())
+
+
+def test_key_that_is_withdrawn_while_the_body_arrives_runs_nothing():
+    """The gateway knows of the withdrawal before the rest of the body comes."""
+
+    async def work():
+        harness = GatewayHarness(routes=[make_route(open=False)], organisations=[ORGANISATION])
+        async with harness:
+            request = make_request(method="POST", body=b"0123456789", X_Api_Key="right")
+            reader, writer = await harness.connect()
+            writer.write(request[:-5])
+            await asyncio.sleep(0.05)
+            without_keys = model.Organisation("org", (), 0, 0.0, 0.0, frozenset())
+            await harness.publish_and_wait(
+                routes=[make_route(open=False)], organisations=[without_keys]
+            )
+            writer.write(request[-5:])
+            assert (await read_message(reader)).status == 401
+            assert harness.run_count == 0
+
+    run(work())
+
+
+def test_route_that_is_removed_while_the_body_arrives_runs_nothing():
+    async def work():
+        async with GatewayHarness() as harness:
+            request = make_request(method="POST", body=b"0123456789")
+            reader, writer = await harness.connect()
+            writer.write(request[:-5])
+            await asyncio.sleep(0.05)
+            await harness.publish_and_wait(routes=[make_route("r2", "/b/")])
+            writer.write(request[-5:])
+            assert (await read_message(reader)).status == 404
+            assert harness.run_count == 0
+
+    run(work())
+
+
+@pytest.mark.parametrize("value", [b"\xb2", b"12\xb3", b"", b"-1", b"1e3", b"9" * 5000])
+def test_malformed_deadline_counts_as_none(value):
+    async def work():
+        async with GatewayHarness() as harness:
+            request = make_request().replace(b"X-Deadline-Ms: 1000", b"X-Deadline-Ms: " + value)
+            assert (await harness.send(request)).status == 200
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Keep-Alive: timeout=\xb2",
+        b"Keep-Alive: timeout=" + b"9" * 5000,
+        b"X-Server-Load: \xb2,0,8",
+    ],
+)
+def test_malformed_header_of_an_endpoint_spoils_no_response(header):
+    async def work():
+        def strange(request):
+            return make_response(request).replace(b"X-Server-Load: 1,0,8", header)
+
+        async with GatewayHarness(FakeEndpoint(handler=strange)) as harness:
+            assert (await harness.send()).status == 200
+
+    run(work())
+
+
+def test_stop_gives_long_requests_the_grace_period(monkeypatch):
+    """Requests of seconds under a long grace period: they end with it, not after a fixed time."""
+    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(0.1))
+
+    async def work():
+        async def slow(request):
+            await asyncio.sleep(2.5)
+            return make_response(request)
+
+        harness = GatewayHarness(FakeEndpoint(handler=slow), routes=[make_route(timeout_s=8.0)])
+        async with harness:
+            harness.gateway.config = dataclasses.replace(
+                harness.gateway.config, grace_period=clock.seconds(10)
+            )
+            request = asyncio.ensure_future(harness.send(make_request(X_Deadline_Ms="8000")))
+            await harness.wait_until(lambda: harness.run_count == 1)
+            await harness.gateway.stop()
+            assert (await request).status == 200
+
+    run(work())
