Derive the retry budget from the operator's bounds

Cause: the fraction of retries (0.15) and the retries that all gateways share (96) were constants that fit the first deployment's bounds (0.2 and 112). The large fleet allows 404; in a service that shed half of its requests though not full, a third of the first tries that were shed got a second one.

Change: 0.95 of retryBudgetRatio for each request and 0.85 of retrySlack divided among gateways; one retry while their number is unknown.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -46,12 +46,11 @@
 MAX_DEADLINE_DIGITS = 9
 # Longer request bodies are streamed to the endpoint, and such requests are not retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
-# Retries per first attempt; well below the operator's bound, which counts all gateways together.
-RETRY_FRACTION = 0.15
-# Retries that may be made at once after a quiet period: the most for one gateway, the total that
-# all gateways share, and the least for each gateway.
-MAX_RETRY_RESERVE = 4.0
-FLEET_RETRY_RESERVE = 96.0
+# Part of the operator's bound on retries that is used: of the retries per request, and of those
+# beyond, which all gateways share. The rest is for requests that are counted in another window.
+RETRY_RATIO_FACTOR = 0.95
+RETRY_SLACK_FACTOR = 0.85
+# Least retries that a gateway may make at once after a quiet period.
 MIN_RETRY_RESERVE = 1.0
 # Range of Retry-After when no endpoint has capacity, as multiples of the route's latency objective:
 # capacity frees up after about the duration of a few requests. The random choice from the range
@@ -91,6 +90,8 @@
         cold_slack: Requests per second that may be sent in addition.
         max_region_shift: Largest change, from one window to the next, of the fraction of a
             region's requests that run in other regions.
+        retry_ratio: Retries per request of a service that all gateways together may make.
+        retry_slack: Retries that they may make in a window beyond that.
         grace_period: Time from the request to stop until the process is killed.
     """
 
@@ -105,6 +106,8 @@
     cold_overage: float
     cold_slack: float
     max_region_shift: float
+    retry_ratio: float = 0.1
+    retry_slack: float = 10.0
     grace_period: datetime.timedelta = clock.seconds(6)
 
 
@@ -282,8 +285,10 @@
             budget.set_reserve(self._retry_reserve())
 
     def _retry_reserve(self) -> float:
-        share = FLEET_RETRY_RESERVE / max(1, self._chooser.gateway_count)
-        return min(MAX_RETRY_RESERVE, max(MIN_RETRY_RESERVE, share))
+        count = self._chooser.gateway_count
+        if not count:
+            return MIN_RETRY_RESERVE
+        return max(MIN_RETRY_RESERVE, RETRY_SLACK_FACTOR * self.config.retry_slack / count)
 
     def _apply_items(self, response: dict[str, typing.Any], now: datetime.timedelta) -> None:
         items = response["items"]
@@ -522,7 +527,10 @@
         trace: _Trace,
     ) -> forwarding.Response | None:
         budget = self._budget_by_service.setdefault(
-            job.service, dispatch.RetryBudget(RETRY_FRACTION, self._retry_reserve())
+            job.service,
+            dispatch.RetryBudget(
+                RETRY_RATIO_FACTOR * self.config.retry_ratio, self._retry_reserve()
+            ),
         )
         budget.on_first_attempt()
         excluded: list[str] = []
--- a/flamingotiller/platform/edge.py
+++ b/flamingotiller/platform/edge.py
@@ -51,6 +51,10 @@
         max_region_shift=settings_file.parse_number(
             file.bound("maxRegionShift", "1"), "maxRegionShift"
         ),
+        retry_ratio=settings_file.parse_number(
+            file.bound("retryBudgetRatio", "0.1"), "retryBudgetRatio"
+        ),
+        retry_slack=settings_file.parse_number(file.bound("retrySlack", "10"), "retrySlack"),
         grace_period=settings_file.parse_duration(file.bound("gracePeriod", "6s"), "gracePeriod"),
         cold_slack=settings_file.parse_number(file.bound("coldSlack", "0"), "coldSlack"),
     )
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -204,6 +204,7 @@
             name="g1", zone="t1", region="thrace", address="127.0.0.1:0", peer_port=int(port),
             seeds=(self.steward.address,), region_by_zone={"t1": "thrace", "b1": "balkan"},
             revocation_bound=clock.seconds(5), cold_overage=1.5, cold_slack=5, max_region_shift=1.0,
+            retry_ratio=0.2, retry_slack=112.0,
         )  # fmt: skip
         self.gateway = gateway.Gateway(
             config, headers.DIALECT, clock.SystemClock(), random.Random(1)
