Let branches grant what they have while no leader answers

Cause: a branch granted no tokens, and a gateway asked for none, once the state was older than 1.5 s and 1.3 s.

Change: branches grant their tokens and undivided reserve for as long as gateways may use them, 4.5 s; both are counted as outstanding by the leader already. Gateways ask the steward that answered last. A use always lies within 5 s of the branch's last contact, so a silent branch counts for that and a window.

Before: test_small_organisation_at_many_gateways_passes_while_no_leader_answers fails at 1.5, 3 and 4 s. After: no request is refused; the randomized checks of the window hold.

--- a/flamingotiller/fleet/accounting.py
+++ b/flamingotiller/fleet/accounting.py
@@ -22,9 +22,12 @@
 
 from flamingotiller import clock
 
-# A branch that has not reached the leader for this long grants no more tokens.
-BRANCH_TOKEN_LIFETIME = clock.seconds(1.5)
-# A gateway that has been out of contact for this long admits no more requests that need tokens.
+# A branch that has not reached the leader for this long grants no more tokens. Until then it grants
+# what it has, which the leader counts as outstanding.
+BRANCH_TOKEN_LIFETIME = clock.seconds(4.5)
+# A gateway whose view has not been confirmed for this long admits no more requests that need
+# tokens. Its view is never newer than the state of the branch that it draws from, so this bounds
+# the use of what a branch grants late, too.
 GATEWAY_TOKEN_LIFETIME = clock.seconds(5)
 # Fraction of the unused allowance that goes into reserves; the rest is left for holders whose
 # demand rises.
@@ -267,7 +270,7 @@
         self._state_by_holder = {
             name: holder
             for name, holder in self._state_by_holder.items()
-            if now - holder.drawn_at <= BRANCH_TOKEN_LIFETIME + GATEWAY_TOKEN_LIFETIME + window
+            if now - holder.drawn_at <= GATEWAY_TOKEN_LIFETIME + window
         }
         used = sum(amount for _, amount in self._uses)
         outstanding = sum(state.stock + state.reserve for state in self._state_by_holder.values())
--- a/flamingotiller/fleet/follower.py
+++ b/flamingotiller/fleet/follower.py
@@ -46,6 +46,7 @@
 
     Attributes:
         source: Address of the leader, or of the steward that responds; empty if unknown.
+        last_source: Address of the peer that responded last; empty before the first response.
         known_peers: Addresses of stewards, learned from responses.
         confirmed_at: Latest time at which the received state was known to be current, None before
             the first response.
@@ -74,6 +75,7 @@
         self._source_reached = False
         self._source_lost_at = clk.monotonic()
         self.source = ""
+        self.last_source = ""
         self.known_peers: list[str] = []
         self.confirmed_at: datetime.timedelta | None = None
 
@@ -174,7 +176,7 @@
     def _record_response(
         self, peer: str, response: dict[str, typing.Any], as_of: datetime.timedelta
     ) -> None:
-        self.source = peer
+        self.source = self.last_source = peer
         self._failures.pop(peer, None)
         # A new source may be less up to date than the previous one.
         self.confirmed_at = max(self.confirmed_at or as_of, as_of)
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -60,8 +60,8 @@
 # Range of Retry-After for callers over their organisation's rate. Tokens arrive at a steady rate,
 # so the range spreads the callers over several draws.
 OVER_RATE_RETRY_AFTER_S = (0.3, 0.9)
-# No tokens are drawn if the view is older than this, which is more than two regular polls take.
-MAX_VIEW_AGE_FOR_DRAW = clock.seconds(1.3)
+# No tokens are drawn if the view is older than this: the branch would grant none.
+MAX_VIEW_AGE_FOR_DRAW = accounting.BRANCH_TOKEN_LIFETIME
 # More than one, because other requests may take the tokens that the first draw brings.
 MAX_DRAWS_PER_REQUEST = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw from the leader
@@ -499,7 +499,8 @@
             await asyncio.shield(task)
 
     async def _request_tokens(self, organisation: str) -> None:
-        steward = self._follower.source
+        # In an outage of the leader no steward answers polls, but a branch still grants its stock.
+        steward = self._follower.source or self._follower.last_source
         draw = self._quota.draw(self.config.name, organisation)
         body = {"organisation": organisation, "draw": dataclasses.astuple(draw)}
         grant = accounting.Grant(0, 0)
--- a/tests/test_fleet_accounting.py
+++ b/tests/test_fleet_accounting.py
@@ -280,6 +280,29 @@
     assert refused_in_outage <= 0.05 * RATE * 0.6 * outage_s
 
 
+@pytest.mark.parametrize("outage_s", [1.5, 3.0, 4.0])
+def test_small_organisation_at_many_gateways_passes_while_no_leader_answers(outage_s):
+    """A large fleet: each of 60 gateways sees a request of the organisation every 12 s, so none
+    holds a share of the reserve. Its branch grants it what the branch has.
+    """
+    rng = random.Random(5)
+    fleet = Fleet(60)
+    names = list(fleet.quota_by_gateway)
+    asked = refused = 0
+    for step in range(int((20 + outage_s) * 100)):
+        fleet.now += clock.seconds(0.01)
+        down = step >= 2000
+        fleet.cut = {0, 1} if down else set()
+        if rng.random() < RATE * 0.125 * 0.01:
+            admitted = fleet.request(rng.choice(names))
+            asked, refused = asked + down, refused + (down and not admitted)
+        if step % 40 == 0:
+            for name in names:
+                fleet.poll(name)
+        fleet.check()
+    assert asked >= 3 and refused == 0
+
+
 def test_reserve_of_an_unreachable_gateway_stays_set_aside():
     """A gateway that is cut off uses its reserve while the others ask for as much as they can."""
     fleet = Fleet(4)
