Serve pipelined requests together

Cause: requests that a caller sends behind another were begun one after the other, so each waited for the ones before it.

Change: a second parser finds requests in the bytes behind the one being served. An idempotent one without a body is begun at once; its response is sent in its turn. One that finds no room waits for its turn instead of being refused. One that must not run twice, or has a body, waits as before. All are cancelled when the caller leaves or a response closes the connection.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -147,7 +147,11 @@
         self._supervisor = supervisor.Supervisor()
         self._peer_pool = client.ConnectionPool()
         self._endpoint_pool = client.ConnectionPool(ENDPOINT_CONNECT_TIMEOUT)
-        self._server = server.Server(self._serve, on_handler_error=_log_handler_error)
+        self._server = server.Server(
+            self._serve,
+            on_handler_error=_log_handler_error,
+            may_run_ahead=self._may_run_ahead,
+        )
         self._quota = quota.Quota(clk.monotonic())
         self._chooser = chooser.Chooser(
             config.region,
@@ -325,6 +329,14 @@
 
     # Request handling
 
+    def _may_run_ahead(self, request: server.Request) -> bool:
+        """Returns whether a request may be served while an earlier one of its connection is.
+
+        Its caller may send it again, so it must be idempotent.
+        """
+        route = self.view.match(_host(request), request.raw_path)
+        return route is not None and route.idempotent
+
     async def _serve(self, request: server.Request, reply: server.Reply) -> None:
         arrived_at = self.clock.monotonic() - clock.seconds(request.buffered_s)
         trace = _Trace(request.header(self._dialect.request_id.decode()) or "", arrived_at)
@@ -373,8 +385,7 @@
     def _find_route(self, request: server.Request, trace: _Trace) -> model.Route:
         if not self.view.config_version:
             raise _refused(503, "no-configuration", retry_after_s=STALE_VIEW_RETRY_AFTER_S)
-        host = (request.header("host") or "").rpartition(":")[0] or request.header("host") or ""
-        route = self.view.match(host.lower(), request.raw_path)
+        route = self.view.match(_host(request), request.raw_path)
         if route is None:
             raise self._unknown("no-route", 404)
         trace.route = route.name
@@ -544,6 +555,10 @@
             if endpoint is None:
                 if error_response is not None:
                     return error_response
+                if not excluded and not reply.in_turn:
+                    # No answer could be sent yet, and there may be room by then.
+                    await reply.wait_for_turn()
+                    continue
                 trace.obstacle = choice.obstacle
                 raise self._no_endpoint(job, dispatch_state, failure)
             excluded.append(endpoint.id)
@@ -797,6 +812,12 @@
     return error
 
 
+def _host(request: server.Request) -> str:
+    """Returns the host that a request names, in lower case and without a port."""
+    host = request.header("host") or ""
+    return (host.rpartition(":")[0] or host).lower()
+
+
 def _caller_timeout(request: server.Request, header: str) -> datetime.timedelta:
     """Returns how long the caller waits; the default if the header is missing or malformed."""
     value = request.header(header) or ""
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -18,7 +18,7 @@
 import h11
 import orjson
 
-from flamingotiller import clock, compression, errors, wire
+from flamingotiller import clock, compression, errors, pipelining, wire
 
 REASON_PHRASES = {
     200: b"OK", 202: b"Accepted", 204: b"No Content", 400: b"Bad Request", 401: b"Unauthorized",
@@ -178,6 +178,14 @@
         self.status = 0
         self.close_after = False
 
+    @property
+    def in_turn(self) -> bool:
+        """Whether the responses to all earlier requests of the connection have been sent."""
+        return True
+
+    async def wait_for_turn(self) -> None:
+        """Waits until the responses to all earlier requests have been sent."""
+
     async def start(
         self, status: int, headers: collections.abc.Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
@@ -239,6 +247,92 @@
         return h11.Response(status_code=status, headers=list(headers), reason=reason)
 
 
+class DeferredReply(Reply):
+    """Reply to a request that is served before its turn; it is sent when the turn has come."""
+
+    def __init__(self) -> None:
+        self._turn: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self.close_after = False
+
+    def take_turn(self, reply: Reply) -> None:
+        """Lets the reply be sent, through the connection's own reply."""
+        reply.close_after = reply.close_after or self.close_after
+        self._turn.set_result(reply)
+
+    @property
+    def _reply(self) -> Reply | None:
+        return self._turn.result() if self._turn.done() else None
+
+    @property
+    def started(self) -> bool:  # type: ignore[override]
+        """Whether the response's head has been sent."""
+        return self._reply is not None and self._reply.started
+
+    @property
+    def finished(self) -> bool:  # type: ignore[override]
+        """Whether the response has been sent."""
+        return self._reply is not None and self._reply.finished
+
+    @property
+    def status(self) -> int:  # type: ignore[override]
+        """Status of the response, 0 before it is sent."""
+        return self._reply.status if self._reply is not None else 0
+
+    @property
+    def in_turn(self) -> bool:
+        """Whether the responses to all earlier requests of the connection have been sent."""
+        return self._turn.done()
+
+    async def wait_for_turn(self) -> None:
+        """Waits until the responses to all earlier requests have been sent."""
+        await asyncio.shield(self._turn)
+
+    async def _wait(self) -> Reply:
+        reply = await asyncio.shield(self._turn)
+        reply.close_after = reply.close_after or self.close_after
+        return reply
+
+    async def start(
+        self, status: int, headers: collections.abc.Sequence[tuple[bytes, bytes]] = ()
+    ) -> None:
+        """Sends the response head."""
+        await (await self._wait()).start(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Sends a chunk of the body."""
+        await (await self._wait()).write(data)
+
+    async def finish(self) -> None:
+        """Ends the response."""
+        await (await self._wait()).finish()
+
+    async def send(
+        self,
+        status: int,
+        body: bytes,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Sends a complete response."""
+        await (await self._wait()).send(status, body, headers)
+
+    async def json(
+        self,
+        status: int,
+        value: typing.Any,
+        headers: collections.abc.Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Sends a complete response with a JSON body."""
+        await (await self._wait()).json(status, value, headers)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Ahead:
+    """A request that is served before its turn."""
+
+    task: asyncio.Task[None]
+    reply: DeferredReply
+
+
 Handler = collections.abc.Callable[[Request, Reply], collections.abc.Awaitable[None]]
 
 
@@ -313,6 +407,9 @@
         limits: Limits of the server; may be replaced while it runs.
         on_handler_error: Called with an unexpected exception of a handler and the peer's address.
         compresses: Whether JSON responses may be compressed; for calls between instances.
+        may_run_ahead: Returns whether a request may be served while an earlier one of its
+            connection is; its caller may send it again if the earlier response closes the
+            connection. None to serve all in turn.
     """
 
     def __init__(
@@ -322,8 +419,11 @@
         limits: Limits | None = None,
         on_handler_error: collections.abc.Callable[[BaseException, str], None] | None = None,
         compresses: bool = False,
+        may_run_ahead: collections.abc.Callable[[Request], bool] | None = None,
     ) -> None:
         self._compresses = compresses
+        self._may_run_ahead = may_run_ahead
+        self._lookahead_by_connection: dict[wire.Connection, pipelining.Lookahead[_Ahead]] = {}
         self._handler = handler
         self.limits = limits or Limits()
         self._on_handler_error = on_handler_error
@@ -363,7 +463,10 @@
 
     def _make_connection(self) -> wire.Connection:
         return wire.Connection(
-            h11.SERVER, on_open=self._on_connection_open, on_lost=self._on_connection_lost
+            h11.SERVER,
+            on_open=self._on_connection_open,
+            on_lost=self._on_connection_lost,
+            on_data=self._look_ahead if self._may_run_ahead else None,
         )
 
     def _on_connection_open(self, connection: wire.Connection) -> None:
@@ -395,6 +498,7 @@
                 self._on_handler_error(error, connection.peer)
         finally:
             self._busy.discard(connection)
+            self._cancel_ahead(connection)
             connection.close()
 
     async def _serve_one(self, connection: wire.Connection, timeout: datetime.timedelta) -> bool:
@@ -412,16 +516,98 @@
         compressing = self._compresses and compression.is_accepted(head.headers)
         reply = Reply(connection, head.method.decode("ascii"), compressing=compressing)
         reply.close_after = self._draining or self._keep_alive_disabled
-        await self._handle(head, connection, reply)
+        ahead = self._pop_ahead(connection)
+        if ahead is not None:
+            await self._finish_ahead(head, connection, reply, ahead)
+        else:
+            await self._handle(head, connection, reply)
         self._busy.discard(connection)
         if not reply.finished:
             connection.abort()
             return False
         return self._start_next_cycle(connection)
 
+    # Requests ahead of their turn
+
+    def _look_ahead(self, connection: wire.Connection) -> None:
+        """Begins requests that have arrived behind the one that is being served."""
+        stopping = self._draining or self._keep_alive_disabled
+        if connection not in self._busy or connection.h11.their_state is not h11.DONE or stopping:
+            return
+        unread = connection.h11.trailing_data[0]
+        if not unread:
+            return
+        lookahead = self._lookahead_by_connection.get(connection)
+        if lookahead is None:
+            lookahead = pipelining.Lookahead(lambda head: self._begin_ahead(head, connection))
+            self._lookahead_by_connection[connection] = lookahead
+        lookahead.look(unread)
+
+    def _begin_ahead(self, head: h11.Request, connection: wire.Connection) -> _Ahead | None:
+        assert self._may_run_ahead is not None
+        request = Request(head, connection, self.limits)
+        request.body_ended = True
+        if not self._may_run_ahead(request):
+            return None
+        reply = DeferredReply()
+        work = self._run_handler(request, reply)
+        return _Ahead(asyncio.get_running_loop().create_task(work), reply)
+
+    def _pop_ahead(self, connection: wire.Connection) -> pipelining.Found[_Ahead] | None:
+        lookahead = self._lookahead_by_connection.get(connection)
+        if lookahead is None:
+            return None
+        found = lookahead.pop()
+        if found is None:
+            lookahead.reset()
+        return found
+
+    async def _finish_ahead(
+        self,
+        head: h11.Request,
+        connection: wire.Connection,
+        reply: Reply,
+        found: pipelining.Found[_Ahead],
+    ) -> None:
+        """Sends the response to a request that was begun before its turn."""
+        same_request = (head.method, head.target, head.headers) == (
+            found.head.method,
+            found.head.target,
+            found.head.headers,
+        )
+        try:
+            # The request has no body, so its end has arrived with its head.
+            end = await connection.next_event(clock.ZERO)
+            if not same_request or not isinstance(end, h11.EndOfMessage):
+                raise errors.ProtocolError("requests are out of step", peer=connection.peer)
+            self._look_ahead(connection)
+            found.ticket.reply.take_turn(reply)
+            await found.ticket.task
+        finally:
+            found.ticket.task.cancel()
+
+    def _cancel_ahead(self, connection: wire.Connection) -> None:
+        lookahead = self._lookahead_by_connection.pop(connection, None)
+        for found in lookahead.found if lookahead else ():
+            found.ticket.task.cancel()
+
+    # Handling of a request
+
     async def _handle(self, head: h11.Request, connection: wire.Connection, reply: Reply) -> None:
         try:
             request = Request(head, connection, self.limits)
+        except ValueError as error:
+            reply.close_after = True
+            await send_error(reply, errors.InvalidInputError(str(error), step="read head"))
+            return
+        if self._may_run_ahead and request.declared_length() == 0:
+            # The end of a request without a body shows where the next one begins.
+            await request.next_chunk()
+            self._look_ahead(connection)
+        await self._run_handler(request, reply)
+
+    async def _run_handler(self, request: Request, reply: Reply) -> None:
+        try:
             check_framing(request)
             await self._handler(request, reply)
             if reply.finished and not request.body_ended and request.declared_length() == 0:
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -52,6 +52,7 @@
         role: ``h11.CLIENT`` or ``h11.SERVER``.
         on_open: Called with the connection once the transport is connected.
         on_lost: Called once when the peer closes or the connection breaks.
+        on_data: Called with the connection after data has arrived.
 
     Attributes:
         lost: Whether the connection has ended.
@@ -70,6 +71,7 @@
         *,
         on_open: collections.abc.Callable[[Connection], None] | None = None,
         on_lost: collections.abc.Callable[[Connection], None] | None = None,
+        on_data: collections.abc.Callable[[Connection], None] | None = None,
     ) -> None:
         self.h11 = h11.Connection(our_role=role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.peer = ""
@@ -82,6 +84,7 @@
         self.bytes_read = 0
         self._on_open = on_open
         self._on_lost = on_lost
+        self._on_data = on_data
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._read_paused = False
@@ -123,6 +126,8 @@
             self._read_paused = True
             self.transport.pause_reading()
         self._wake_reader()
+        if self._on_data:
+            self._on_data(self)
 
     def eof_received(self) -> bool:
         """Treats a half-closed connection as closed; part of ``asyncio.Protocol``."""
