Tell refused callers to return when there is room

Cause: Retry-After was a random multiple of the latency objective, 0.5 to 1.5. A request takes half of the objective where its object is warm, so a caller that was refused once came back too late to be served in time, and one whose request was shed at random waited as long.

Change: Retry-After is 0.3 to 1.0 of the time that the service's requests take here, 0.05 to 0.3 after requests that endpoints shed, and never more than the objective. fleet.returning holds it.

Result: tests/test_fleet_returning.py, bursts of 16, 24 and 36 requests on 12 slots: more of them are served within the objective than with multiples of it, in each case.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -32,6 +32,7 @@
     placement,
     presence,
     quota,
+    returning,
     spill,
 )
 
@@ -52,10 +53,6 @@
 RETRY_SLACK_FACTOR = 0.85
 # Least retries that a gateway may make at once after a quiet period.
 MIN_RETRY_RESERVE = 1.0
-# Range of Retry-After when no endpoint has capacity, as multiples of the route's latency objective:
-# capacity frees up after about the duration of a few requests. The random choice from the range
-# keeps callers that were refused together from returning together.
-RETRY_AFTER_OBJECTIVE_FACTORS = (0.5, 1.5)
 STALE_VIEW_RETRY_AFTER_S = 0.5
 # Range of Retry-After for callers over their organisation's rate. Tokens arrive at a steady rate,
 # so the range spreads the callers over several draws.
@@ -143,6 +140,7 @@
         self.listening = ("", 0)
         self._dialect = dialect
         self._rng = rng
+        self._return_times = returning.ReturnTimes(rng)
         self._stack = contextlib.AsyncExitStack()
         self._supervisor = supervisor.Supervisor()
         self._peer_pool = client.ConnectionPool()
@@ -623,8 +621,9 @@
                 504 if timed_out else 502, "timeout" if timed_out else "endpoint-failed", failure
             )
         code = "full" if failure is None else "not-run"
-        low, high = RETRY_AFTER_OBJECTIVE_FACTORS
-        retry_after_s = job.route.objective_s * self._rng.uniform(low, high)
+        retry_after_s = self._return_times.after_s(
+            job.service, job.route.objective_s, shed=isinstance(failure, dispatch.ShedError)
+        )
         return _refused(503, code, failure, retry_after_s=retry_after_s)
 
     async def _attempt(
@@ -658,7 +657,9 @@
         if failed:
             if health.on_error(self.clock.monotonic(), error_rate.value):
                 self._on_endpoint_avoided(endpoint, health, "errors")
-        elif health.on_success():
+            return response
+        self._return_times.record(job.service, self.clock.monotonic() - started_at)
+        if health.on_success():
             events.emit(events.ENDPOINT_RESTORED, endpoint=endpoint.id, service=endpoint.service)
         return response
 
