Leave a malformed request behind another to its turn

Cause: a pipelined target that cannot be split raised in the callback that takes data, which closes the connection and cuts the answer to the request before it.

Before: test_malformed_request_behind_another_is_refused_in_its_turn fails for it. After: it passes.

--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -545,7 +545,11 @@
 
     def _begin_ahead(self, head: h11.Request, connection: wire.Connection) -> _Ahead | None:
         assert self._may_run_ahead is not None
-        request = Request(head, connection, self.limits)
+        try:
+            request = Request(head, connection, self.limits)
+        except ValueError:
+            # It is refused in its turn, where the caller can be answered.
+            return None
         request.body_ended = True
         if not self._may_run_ahead(request):
             return None
