Refuse at once while the branch does not respond

Cause: since gateways draw as long as a branch may grant, each request without a token waited 0.3 s for a branch that was gone with its instance, for up to 4.5 s.

Change: after a draw that did not reach its branch, requests are decided without it for 0.5 s, unless another branch takes its place.

Before: test_requests_do_not_wait_for_a_branch_that_does_not_respond fails. After: it passes.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -62,6 +62,8 @@
 # More than one, because other requests may take the tokens that the first draw brings.
 MAX_DRAWS_PER_REQUEST = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw from the leader
+# After a draw that did not reach its branch, requests are decided without it for this long.
+UNREACHABLE_BRANCH_PAUSE = clock.seconds(0.5)
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
 # the margin, in which the process ends.
@@ -160,6 +162,8 @@
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
+        # Branch that did not respond to a draw, and until when it is not asked again.
+        self._unreachable_branch = ("", clock.ZERO)
         self._peer_client = client.Client(self._peer_pool)
         self._endpoint_traffic_by_distance = {
             distance: wire.Traffic() for distance in ("zone", "region", "remote")
@@ -483,7 +487,8 @@
         now = self.clock.monotonic()
         for _ in range(MAX_DRAWS_PER_REQUEST):
             view_is_fresh = self.staleness() <= MAX_VIEW_AGE_FOR_DRAW
-            if not view_is_fresh or not self._quota.may_draw(organisation.name, now):
+            may_draw = self._branch_is_usable(now) and self._quota.may_draw(organisation.name, now)
+            if not view_is_fresh or not may_draw:
                 break
             await self._draw(organisation.name)
             if self._quota.take_drawn(organisation.name):
@@ -507,9 +512,19 @@
         with self._quota.waiting(organisation):
             await asyncio.shield(task)
 
+    def _branch(self) -> str:
+        """Returns the address of the steward to draw from, empty if none is known.
+
+        In an outage of the leader no steward answers polls, but a branch still grants its stock.
+        """
+        return self._follower.source or self._follower.last_source
+
+    def _branch_is_usable(self, now: datetime.timedelta) -> bool:
+        branch, until = self._unreachable_branch
+        return branch != self._branch() or now >= until
+
     async def _request_tokens(self, organisation: str) -> None:
-        # In an outage of the leader no steward answers polls, but a branch still grants its stock.
-        steward = self._follower.source or self._follower.last_source
+        steward = self._branch()
         draw = self._quota.draw(self.config.name, organisation)
         body = {"organisation": organisation, "draw": dataclasses.astuple(draw)}
         grant = accounting.Grant(0, 0)
@@ -523,6 +538,9 @@
                 self._quota.receive(organisation, grant)
         except errors.FlamingotillerError as error:
             self._quota.record_lost_draw(organisation, draw)
+            if isinstance(error, errors.TransportError):
+                until = self.clock.monotonic() + UNREACHABLE_BRANCH_PAUSE
+                self._unreachable_branch = (steward, until)
             events.emit(
                 events.DRAW_FAILED, organisation=organisation, peer=steward, error=str(error)
             )
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -525,3 +525,23 @@
             assert (await request).status == 200
 
     run(work())
+
+
+def test_requests_do_not_wait_for_a_branch_that_does_not_respond():
+    """All stewards are lost: only the first request waits for its draw, the others are refused."""
+    limited = model.Organisation("org", ORGANISATION.key_digests, 0, 50.0, 50.0, frozenset())
+
+    async def work():
+        harness = GatewayHarness(routes=[make_route(open=False)], organisations=[limited])
+        async with harness:
+            harness.steward.silent = True
+            first = await harness.send(make_request(X_Api_Key="right", id_="i0"))
+            assert first.status == 429
+            draws = []
+            harness.gateway._request_tokens = draws.append
+            for number in range(5):
+                response = await harness.send(make_request(X_Api_Key="right", id_=f"i{number}"))
+                assert response.status == 429
+            assert draws == []
+
+    run(work())
