--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -528,20 +528,23 @@
 
 
 def test_requests_do_not_wait_for_a_branch_that_does_not_respond():
-    """All stewards are lost: only the first request waits for its draw, the others are refused."""
-    limited = model.Organisation("org", ORGANISATION.key_digests, 0, 50.0, 50.0, frozenset())
+    """All stewards are lost: the first request waits for its draw, those of other organisations are
+    refused at once."""
+    organisations = [
+        model.Organisation(f"o{n}", (model.key_digest(f"k{n}"),), 0, 50.0, 50.0, frozenset())
+        for n in range(6)
+    ]
 
     async def work():
-        harness = GatewayHarness(routes=[make_route(open=False)], organisations=[limited])
+        harness = GatewayHarness(routes=[make_route(open=False)], organisations=organisations)
         async with harness:
             harness.steward.silent = True
-            first = await harness.send(make_request(X_Api_Key="right", id_="i0"))
-            assert first.status == 429
+            assert (await harness.send(make_request(X_Api_Key="k0"))).status == 429
             draws = []
-            harness.gateway._request_tokens = draws.append
-            for number in range(5):
-                response = await harness.send(make_request(X_Api_Key="right", id_=f"i{number}"))
-                assert response.status == 429
+            harness.gateway._quota.draw = lambda *arguments: draws.append(arguments)
+            for number in range(1, 6):
+                request = make_request(X_Api_Key=f"k{number}", id_=f"i{number}")
+                assert (await harness.send(request)).status == 429
             assert draws == []
 
     run(work())
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -179,7 +179,12 @@
 
 @pytest.mark.parametrize(
     "second",
-    [b"\x00 garbage\r\n\r\n", b"GET x HTTP/1.1\r\nHost: h\r\n\r\n", b"GET /1 HTTP/3.9\r\n\r\n"],
+    [
+        b"\x00 garbage\r\n\r\n",
+        b"GET x HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"GET /1 HTTP/3.9\r\n\r\n",
+        b"GET //[ HTTP/1.1\r\nHost: h\r\n\r\n",
+    ],
 )
 def test_malformed_request_behind_another_is_refused_in_its_turn(second):
     async def scenario(servers):
