Check a request again after it has waited for its turn; compare organisations by name

Cause: a pipelined request that waits for its turn because there is no room was sent without another look at its key and route; a request whose organisation's contract changed while it waited, in its rate or rank only, was refused as changed.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -341,7 +341,9 @@
 
     async def _serve(self, request: server.Request, reply: server.Reply) -> None:
         arrived_at = self.clock.monotonic() - clock.seconds(request.buffered_s)
-        trace = _Trace(request.header(self._dialect.request_id.decode()) or "", arrived_at)
+        trace = _Trace(
+            request.header(self._dialect.request_id.decode()) or "", arrived_at, self.revision
+        )
         dispatch_state = dispatch.DispatchState()
         try:
             await self._handle(request, reply, trace, dispatch_state)
@@ -369,11 +371,10 @@
         route = self._find_route(request, trace)
         organisation = self._authenticate(request, route, trace)
         job = self._make_job(request, route, organisation, trace)
-        revision = self.revision
         await self._read_body(job)
         await self._admit(job)
-        self._check_still_permitted(job, revision, trace)
         try:
+            self._check_still_permitted(job, trace)
             response = await self._dispatch(job, dispatch_state, reply, trace)
         except BaseException:
             if organisation is not None and dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
@@ -413,26 +414,22 @@
         trace.organisation = organisation.name
         return organisation
 
-    def _check_still_permitted(self, job: forwarding.Job, revision: int, trace: _Trace) -> None:
-        """Checks a request again that waited for its body or a token meanwhile.
+    def _check_still_permitted(self, job: forwarding.Job, trace: _Trace) -> None:
+        """Checks a request again that has waited for its body, a token or its turn.
 
         Its key may have been withdrawn, its route removed, or the view may be too old by now.
 
         Raises:
             errors.RefusedError: The request is no longer permitted as it was.
         """
-        try:
-            if self.revision != revision:
-                job.route = self._find_route(job.request, trace)
-            organisation = self._authenticate(job.request, job.route, trace)
-            if organisation != job.organisation or all(
-                part.service != job.service for part in job.route.parts
-            ):
-                raise _refused(503, "changed", retry_after_s=STALE_VIEW_RETRY_AFTER_S)
-        except errors.RefusedError:
-            if job.organisation is not None:
-                self._quota.refund(job.organisation.name)
-            raise
+        if self.revision != trace.revision:
+            trace.revision = self.revision
+            job.route = self._find_route(job.request, trace)
+        before = job.organisation
+        job.organisation = self._authenticate(job.request, job.route, trace)
+        same_organisation = (before and before.name) == (job.organisation and job.organisation.name)
+        if not same_organisation or job.service not in {p.service for p in job.route.parts}:
+            raise _refused(503, "changed", retry_after_s=STALE_VIEW_RETRY_AFTER_S)
 
     def _make_job(
         self,
@@ -574,6 +571,7 @@
                 if not excluded and not reply.in_turn:
                     # No answer could be sent yet, and there may be room by then.
                     await reply.wait_for_turn()
+                    self._check_still_permitted(job, trace)
                     continue
                 trace.obstacle = choice.obstacle
                 raise self._no_endpoint(job, dispatch_state, failure)
@@ -800,10 +798,15 @@
 
 @dataclasses.dataclass
 class _Trace:
-    """What is known about a request so far, for its log events and metrics."""
+    """What is known about a request so far, for its log events and metrics.
+
+    Attributes:
+        revision: Revision of the view at which it was last found to be permitted.
+    """
 
     request_id: str
     arrived_at: datetime.timedelta
+    revision: int
     route: str = ""
     service: str = ""
     organisation: str = ""
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -548,3 +548,54 @@
             assert draws == []
 
     run(work())
+
+
+def test_contract_that_changes_while_the_body_arrives_does_not_refuse_the_request():
+    async def work():
+        harness = GatewayHarness(routes=[make_route(open=False)], organisations=[ORGANISATION])
+        async with harness:
+            request = make_request(method="POST", body=b"0123456789", X_Api_Key="right")
+            reader, writer = await harness.connect()
+            writer.write(request[:-5])
+            await asyncio.sleep(0.05)
+            other_rank = dataclasses.replace(ORGANISATION, rank=1)
+            await harness.publish_and_wait(
+                routes=[make_route(open=False)], organisations=[other_rank]
+            )
+            writer.write(request[-5:])
+            assert (await read_message(reader)).status == 200
+
+    run(work())
+
+
+def test_key_that_is_withdrawn_while_a_pipelined_request_waits_for_room_runs_nothing():
+    # Of this rank, one request at a time fits the endpoint.
+    organisation = dataclasses.replace(ORGANISATION, rank=1)
+
+    async def work():
+        release = asyncio.Event()
+
+        async def block(request):
+            await release.wait()
+            return make_response(request)
+
+        harness = GatewayHarness(
+            FakeEndpoint(slots=1, handler=block),
+            routes=[make_route(open=False, timeout_s=5.0)],
+            organisations=[organisation],
+        )
+        async with harness:
+            reader, writer = await harness.connect()
+            fields = {"X_Api_Key": "right", "X_Deadline_Ms": "5000"}
+            writer.write(make_request(id_="i0", **fields) + make_request(id_="i1", **fields))
+            await harness.wait_until(lambda: harness.run_count == 1)
+            without_keys = dataclasses.replace(organisation, key_digests=())
+            await harness.publish_and_wait(
+                routes=[make_route(open=False, timeout_s=5.0)], organisations=[without_keys]
+            )
+            release.set()
+            assert (await read_message(reader)).status == 200
+            assert (await read_message(reader)).status == 401
+            assert harness.run_count == 1
+
+    run(work())
