Pass every report on to a leader that does not read renewals

Cause: while a fleet is upgraded, a steward of this build under a leader of the one before would keep to itself the reports that change nothing, and the leader would take the endpoints for silent.

Change: the leader says in its responses to polls that it reads renewals; until it has, reports go to it.

Result: the steward's test covers both; in it, such a leader gets the report.

--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -169,6 +169,8 @@
         # Endpoints whose liveness the leader has not been told of yet.
         self._renewed_ids: set[str] = set()
         self._polled_renewals: set[str] = set()
+        # A leader of an earlier build has to get every report itself.
+        self._leader_takes_renewals = False
         self._join_request_by_address: dict[str, log_membership.JoinRequest] = {}
 
     async def start(self) -> None:
@@ -270,6 +272,7 @@
 
     def _on_poll_response(self, response: dict[str, typing.Any], as_of: datetime.timedelta) -> None:
         now = self.clock.monotonic()
+        self._leader_takes_renewals = response.get("takes_renewals", False)
         if response["roll"] is not None:
             self._set_gateway_list(presence.GatewayList.from_wire(response["roll"]))
         if response["accounts"] is not None:
@@ -483,6 +486,7 @@
             ),
             "grants": {name: dataclasses.astuple(grant) for name, grant in grants.items()},
             "accounts": accounts,
+            "takes_renewals": True,
         }
 
     async def _on_gateway_poll(self, body: typing.Any) -> typing.Any:
@@ -746,7 +750,7 @@
         is_known = f"service/{endpoint.service}" in self.state.table.item_by_subject
         if self.state.version and not is_known:
             raise errors.InvalidInputError(f"unknown service {endpoint.service!r}", step="report")
-        if not self.log.is_leader:
+        if not self.log.is_leader and self._leader_takes_renewals:
             # A state that may be old could take an endpoint for present that has been removed.
             self._require_state_age(MAX_STATE_AGE)
             effect = self._registry.record(endpoint, self.state, self.clock.monotonic())
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -272,12 +272,20 @@
                 lambda: follower._state_age(follower.clock.monotonic()) < steward.MAX_STATE_AGE
             )
             executed = []
-            follower._execute = lambda operation, arguments: executed.append(operation)
+
+            async def execute(operation, arguments):
+                executed.append(operation)
+
+            follower._execute = execute
             registry_of_leader = leader._require_leader_state().registry
             before = registry_of_leader._reported_at_by_id["e"]
             for sequence in range(2, 6):
                 await follower.report(dataclasses.replace(record, sequence=sequence))
             assert executed == []
+            # A leader of an earlier build does not read renewals, so it gets the reports.
+            follower._leader_takes_renewals = False
+            await follower.report(dataclasses.replace(record, sequence=6))
+            assert executed == ["report"]
             await polling.wait_until(lambda: registry_of_leader._reported_at_by_id["e"] > before)
 
     asyncio.run(scenario())
@@ -298,6 +306,7 @@
                 lambda: follower._state_age(follower.clock.monotonic()) > steward.MAX_STATE_AGE
             )
             follower.state.table.put("service/s", {})
+            follower._leader_takes_renewals = True
             with pytest.raises(errors.UnavailableError):
                 await follower.report(model.Endpoint("e", 1, 1, "s", "127.0.0.1:1", "a", 4))
 
