--- a/flamingotiller/fleet/accounting.py
+++ b/flamingotiller/fleet/accounting.py
@@ -204,7 +204,8 @@
         for name, (stock, demand, reserve, number) in handover["holders"].items():
             holder = HolderState(stock, demand, reserve, number, handover_at)
             self._state_by_holder[name] = holder
-        # The earlier leader may have granted since what was left, as far as its bucket had it.
+        # The earlier leader may have granted since then what its bucket held and was refilled
+        # with, but no more than the window had left.
         left = max(0.0, self._headroom(rate, burst, self._opened_at))
         elapsed = self._opened_at - handover_at + handover_delay
         # A leader of an earlier build does not tell its bucket; it may have been full.
--- a/flamingotiller/fleet/chooser.py
+++ b/flamingotiller/fleet/chooser.py
@@ -12,7 +12,7 @@
 
 
 class Obstacle(enum.Enum):
-    """Why no endpoint was chosen; of several, the one nearest to being overcome."""
+    """Why no endpoint was chosen; of full and cold candidates together, ``COLD`` is named."""
 
     NO_ENDPOINT = "no endpoint"
     AVOIDED = "all avoided after failures"
