--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -85,6 +85,13 @@
     "free space or replace the disk, then restart (docs/OPERATIONS.md)",
 )
 STORAGE_RECOVERED = _define(2013, _INFO, "storage works again", "index")
+JOURNAL_UNREADABLE = _define(
+    2014,
+    _ERROR,
+    "the journal cannot be opened",
+    "path error",
+    "see docs/OPERATIONS.md",
+)
 TAIL_DROPPED = _define(2005, _WARN, "a torn record at the end of the log was dropped", "bytes")
 SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index")
 SNAPSHOT_INSTALLED = _define(2007, _INFO, "snapshot of the leader installed", "index")
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -847,13 +847,17 @@
     Raises:
         errors.StorageError: The directory cannot be used.
     """
-    if not (config.data / "identity").exists():
-        if config.found and config.address in config.seeds:
-            _bootstrap_log(config)
-        else:
-            identity = f"{config.name}.{secrets.token_hex(4)}"
-            journal.DiskJournal.create(config.data, identity)
-    return journal.DiskJournal(config.data)
+    try:
+        if not (config.data / "identity").exists():
+            if config.found and config.address in config.seeds:
+                _bootstrap_log(config)
+            else:
+                identity = f"{config.name}.{secrets.token_hex(4)}"
+                journal.DiskJournal.create(config.data, identity)
+        return journal.DiskJournal(config.data)
+    except errors.StorageError as error:
+        events.emit(events.JOURNAL_UNREADABLE, path=str(config.data), error=str(error))
+        raise
 
 
 def _bootstrap_log(config: StewardSettings) -> None:
