Add tests of stewards that do not start after a loss of power, known to fail

Callers of the co-op were not served again after all machines had returned. These tests reproduce one way to get there: a steward whose last write was interrupted ends at each start, and a leader needs a majority of them.

--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -180,6 +180,35 @@
     asyncio.run(scenario())
 
 
+def test_steward_with_a_damaged_journal_rejoins_as_a_new_member_with_the_full_state(tmp_path):
+    """After a loss of power a steward did not start again, since its journal was damaged, though
+    one with an empty disk does; the damaged files are kept."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.configure(update(5, 0)))
+            host = next(h for h in cluster.hosts if cluster.by_host[h] is not leader)
+            old_identity = cluster.by_host[host].log.replica.identity
+            await cluster.stop(host)
+            log = tmp_path / host / "log"
+            damaged = bytearray(log.read_bytes())
+            damaged[30] ^= 0xFF
+            log.write_bytes(bytes(damaged))
+            # Settings may still say that the system starts for the first time.
+            node = await cluster.start(host, found=True)
+            assert node.log.replica.identity not in (old_identity, "")
+            assert not node.log.replica.identity.startswith("founder")
+            await polling.wait_until(
+                lambda: node.log.replica.identity in current_members(cluster).voters
+            )
+            assert old_identity not in current_members(cluster).voters
+            assert node.state.version == 5
+            assert (tmp_path / host / "log.damaged").read_bytes() == bytes(damaged)
+
+    asyncio.run(scenario())
+
+
 def test_steward_without_a_majority_refuses_reads_and_updates(tmp_path):
     async def scenario():
         async with StewardCluster(tmp_path) as cluster:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,5 +1,6 @@
 """Journals: one contract for memory and disk, and a table of damage for the disk."""
 
+import contextlib
 import errno
 import os
 
@@ -136,3 +137,55 @@
     folder = written(tmp_path)
     with pytest.raises(errors.StorageError):
         journal.DiskJournal.create(folder, "a.0")
+
+
+def written_in_two_syncs(tmp_path):
+    """Returns a folder whose log was synced after three entries and after five more, and the size
+    of the log at the first sync."""
+    folder = written(tmp_path)
+    synced = (folder / "log").stat().st_size
+    store = journal.DiskJournal(folder)
+    for index in range(4, 9):
+        store.append(entry(index, body={"value": "x" * 700}))
+    store.sync()
+    store.close()
+    return folder, synced
+
+
+@pytest.mark.parametrize("lost_sector", range(7))
+def test_write_of_which_one_sector_did_not_reach_the_disk_is_dropped(tmp_path, lost_sector):
+    """After a loss of power stewards did not start again, and no leader was elected: a disk writes
+    the sectors of a write in any order, so whole records can follow a gap."""
+    folder, synced = written_in_two_syncs(tmp_path)
+    data = bytearray((folder / "log").read_bytes())
+    start = max(synced, (synced // 512 + lost_sector) * 512)
+    end = min(len(data), (start // 512 + 1) * 512)
+    assert start < end
+    data[start:end] = bytes(end - start)
+    (folder / "log").write_bytes(bytes(data))
+    with contextlib.closing(journal.DiskJournal(folder)) as store:
+        assert store.entries == [entry(1), entry(2), entry(3)]
+
+
+@pytest.mark.parametrize("kept", range(1, 13))
+def test_write_of_which_a_part_of_a_header_reached_the_disk_is_dropped(tmp_path, kept):
+    """After a loss of power a steward did not start again: a header without a length, followed by
+    zeros, passed for a record with an empty body."""
+    folder, synced = written_in_two_syncs(tmp_path)
+    data = (folder / "log").read_bytes()
+    (folder / "log").write_bytes(data[: synced + kept] + bytes(len(data) - synced - kept))
+    with contextlib.closing(journal.DiskJournal(folder)) as store:
+        assert store.last_index == 3
+
+
+def test_lost_sector_before_a_later_sync_is_refused(tmp_path):
+    folder, synced = written_in_two_syncs(tmp_path)
+    store = journal.DiskJournal(folder)
+    store.append(entry(9))
+    store.sync()
+    store.close()
+    data = bytearray((folder / "log").read_bytes())
+    data[synced + 600 : synced + 1112] = bytes(512)
+    (folder / "log").write_bytes(bytes(data))
+    with pytest.raises(errors.CorruptRecordError):
+        journal.DiskJournal(folder)
