Drop what an interrupted write left, whichever sectors reached the disk

Callers saw: on the co-op's site service did not come back after all machines had. A leader needs a majority of the stewards, and a steward whose last write was interrupted ended at each start.

A disk writes sectors in any order; a gap with whole records of the same write behind it counted as damage to synced data. And four to six bytes of a header followed by zeros were decoded as a record with an empty body (the checksum of nothing is zero), which ended the process with JSONDecodeError.

Change: each record but the first tells how far back its write began, so records of the same write are told from later ones, which prove that the damaged one was synced. Zeros mark a sector that was not written. A record without a body is damaged. Journals of earlier builds are read as before, and earlier builds read these.

Ruled out: one frame with one checksum for each write. test_torn_tail_is_dropped shows that whole records before the damage are kept, and earlier builds could not read it.

Not shown: that this is what the users saw.

--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -1,8 +1,8 @@
 """Storage of the replicated log: an abstract journal, one in memory for tests and one on disk.
 
 Written data is durable only after ``sync`` returns. Each record on disk starts with a magic number,
-its length and a CRC-32. A torn record at the end of the log is dropped when the journal is opened;
-any other damage raises an error."""
+its length and a CRC-32, and tells where the write began that it belongs to. What an interrupted
+write has left is dropped when the journal is opened; any other damage raises an error."""
 
 from __future__ import annotations
 
@@ -20,6 +20,9 @@
 
 _HEADER = struct.Struct(">4sII")
 _MAGIC = b"FTR1"
+# Sectors that were not written read as zeros. Records have no zero bytes but in their headers, and
+# damage to written data hardly leaves this many in a row.
+_UNWRITTEN = bytes(8)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -259,12 +262,12 @@
         while offset < len(data):
             body, length = _decode(data, offset)
             if body is None:
-                self._drop_torn_tail(path, data, offset)
+                self._drop_torn_write(path, data, offset)
                 return
             self._replay(orjson.loads(body))
             offset += length
 
-    def _drop_torn_tail(self, path: pathlib.Path, data: bytes, offset: int) -> None:
+    def _drop_torn_write(self, path: pathlib.Path, data: bytes, offset: int) -> None:
         if not _is_torn(data, offset):
             raise errors.CorruptRecordError(f"{path} is damaged at byte {offset}", step="load log")
         events.emit(events.TAIL_DROPPED, bytes=len(data) - offset)
@@ -288,6 +291,8 @@
         return bool(self._buffer)
 
     def _write(self, record: dict[str, typing.Any]) -> None:
+        if self._buffer:
+            record = {**record, "back": len(self._buffer)}
         self._buffer += _encode(orjson.dumps(record))
 
     def _rewrite(self) -> None:
@@ -295,11 +300,11 @@
             self._buffer.clear()
             body = orjson.dumps(dataclasses.asdict(self.snapshot))
             _write_durably(self._folder / "snapshot", _encode(body))
-            self._write({"vote": [self.term, self.voted_for]})
-            for entry in self.entries:
-                self._write({"entry": entry.to_wire()})
-            _write_durably(self._folder / "log", bytes(self._buffer))
-            self._buffer.clear()
+            records: list[typing.Any] = [{"vote": [self.term, self.voted_for]}]
+            records += ({"entry": entry.to_wire()} for entry in self.entries)
+            # The file is complete once it has its name, so no record in it can be torn.
+            log = b"".join(_encode(orjson.dumps(record)) for record in records)
+            _write_durably(self._folder / "log", log)
             self._file.close()
             self._file = open(self._folder / "log", "ab", buffering=0)  # noqa: SIM115
         except OSError as error:
@@ -334,7 +339,9 @@
     magic, length, checksum = _HEADER.unpack_from(data, offset)
     start = offset + _HEADER.size
     body = data[start : start + length]
-    if magic != _MAGIC or len(body) != length or zlib.crc32(body) != checksum:
+    # No record is empty, but a header of which only a part was written may say so, and the checksum
+    # of an empty body is zero.
+    if magic != _MAGIC or not length or len(body) != length or zlib.crc32(body) != checksum:
         return None, 0
     return body, _HEADER.size + length
 
@@ -342,20 +349,29 @@
 def _is_torn(data: bytes, offset: int) -> bool:
     """Returns whether the damage at ``offset`` can come from an interrupted write.
 
-    An interrupted write leaves a prefix of the record, or zeros in place of data not written yet,
-    and no valid record follows. Any other damage affects synced data.
+    A disk writes the sectors of a write in any order, so an interrupted write leaves some of them
+    and zeros in place of the others, and records of the same write may follow. A valid record of a
+    later write follows only if the damaged one was synced.
     """
+    end = len(data)
     probe = data.find(_MAGIC, offset + 1)
     while probe != -1:
-        if _decode(data, probe)[0] is not None:
-            return False
+        body, _ = _decode(data, probe)
+        if body is not None:
+            if probe - orjson.loads(body).get("back", 0) > offset:
+                return False
+            end = min(end, probe)
         probe = data.find(_MAGIC, probe + 1)
-    tail = data[offset:]
-    if len(tail) < _HEADER.size or not tail.strip(b"\0"):
+    damaged = data[offset:end]
+    if damaged[0] == 0 or _UNWRITTEN in damaged:
+        return True
+    if end < len(data):
+        return False
+    if len(damaged) < _HEADER.size:
         return True
-    _, length, _ = _HEADER.unpack_from(tail)
-    cut_short = tail[:4] == _MAGIC and len(tail) < _HEADER.size + length
-    return cut_short or tail[-1] == 0
+    _, length, _ = _HEADER.unpack_from(damaged)
+    cut_short = damaged[:4] == _MAGIC and len(damaged) < _HEADER.size + length
+    return cut_short or damaged[-1] == 0
 
 
 def _write_durably(path: pathlib.Path, data: bytes) -> None:
