--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -92,6 +92,13 @@
     "path error",
     "see docs/OPERATIONS.md",
 )
+JOURNAL_SET_ASIDE = _define(
+    2015,
+    _ERROR,
+    "the journal is damaged and was set aside; the instance joins as a new member",
+    "path error",
+    "check the disk; the files are kept as *.damaged",
+)
 TAIL_DROPPED = _define(2005, _WARN, "a torn record at the end of the log was dropped", "bytes")
 SNAPSHOT_SAVED = _define(2006, _INFO, "snapshot saved and log compacted", "index")
 SNAPSHOT_INSTALLED = _define(2007, _INFO, "snapshot of the leader installed", "index")
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -842,24 +842,35 @@
 
     On the first start of the whole system the seeds bootstrap the log, all with the same list of
     voters. A blank directory anywhere else gets a new random identity, so that an instance that
-    lost its disk never votes twice under one identity.
+    lost its disk never votes twice under one identity. A damaged journal counts as a lost disk: its
+    files are set aside.
 
     Raises:
         errors.StorageError: The directory cannot be used.
     """
     try:
-        if not (config.data / "identity").exists():
-            if config.found and config.address in config.seeds:
-                _bootstrap_log(config)
-            else:
-                identity = f"{config.name}.{secrets.token_hex(4)}"
-                journal.DiskJournal.create(config.data, identity)
+        if (config.data / "identity").exists():
+            try:
+                return journal.DiskJournal(config.data)
+            except errors.CorruptRecordError as error:
+                events.emit(events.JOURNAL_SET_ASIDE, path=str(config.data), error=str(error))
+                journal.DiskJournal.set_aside(config.data)
+        _create_journal(config)
         return journal.DiskJournal(config.data)
     except errors.StorageError as error:
         events.emit(events.JOURNAL_UNREADABLE, path=str(config.data), error=str(error))
         raise
 
 
+def _create_journal(config: StewardSettings) -> None:
+    # The voters that bootstrap the log have no memory yet; one whose journal was damaged had.
+    is_first_start = config.found and not journal.DiskJournal.was_set_aside(config.data)
+    if is_first_start and config.address in config.seeds:
+        _bootstrap_log(config)
+    else:
+        journal.DiskJournal.create(config.data, f"{config.name}.{secrets.token_hex(4)}")
+
+
 def _bootstrap_log(config: StewardSettings) -> None:
     voters = {f"founder-{seed}": seed for seed in sorted(config.seeds)}
     journal.DiskJournal.create(config.data, f"founder-{config.address}")
--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -20,6 +20,7 @@
 
 _HEADER = struct.Struct(">4sII")
 _MAGIC = b"FTR1"
+_SET_ASIDE_SUFFIX = ".damaged"
 # Sectors that were not written read as zeros. Records have no zero bytes but in their headers, and
 # damage to written data hardly leaves this many in a row.
 _UNWRITTEN = bytes(8)
@@ -240,11 +241,35 @@
             raise errors.StorageError(f"{folder} already belongs to a member", step="create")
         try:
             folder.mkdir(parents=True, exist_ok=True)
+            # A snapshot without an identity belongs to a journal that is being set aside.
+            (folder / "snapshot").unlink(missing_ok=True)
             _write_durably(folder / "log", b"")
             _write_durably(folder / "identity", identity.encode())
         except OSError as error:
             raise errors.StorageError(f"cannot create {folder}: {error}", step="create") from error
 
+    @staticmethod
+    def set_aside(folder: pathlib.Path) -> None:
+        """Renames a journal's files, so that the folder is blank; replaces files set aside before.
+
+        The identity goes first: without it the folder is blank, whatever is left of the rest.
+
+        Raises:
+            errors.StorageError: The folder cannot be written.
+        """
+        try:
+            for name in ("identity", "snapshot", "log"):
+                if (folder / name).exists():
+                    os.replace(folder / name, folder / f"{name}{_SET_ASIDE_SUFFIX}")
+                    _sync_folder(folder)
+        except OSError as error:
+            raise errors.StorageError(f"cannot set {folder} aside: {error}", step="open") from error
+
+    @staticmethod
+    def was_set_aside(folder: pathlib.Path) -> bool:
+        """Returns whether a journal in a data folder has been set aside."""
+        return (folder / f"identity{_SET_ASIDE_SUFFIX}").exists()
+
     def _load_snapshot(self) -> None:
         path = self._folder / "snapshot"
         if not path.exists():
@@ -382,7 +407,11 @@
         file.flush()
         os.fsync(file.fileno())
     os.replace(temporary, path)
-    folder_descriptor = os.open(path.parent, os.O_RDONLY)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    folder_descriptor = os.open(folder, os.O_RDONLY)
     try:
         os.fsync(folder_descriptor)
     finally:
