Keep to the limit that an endpoint names, over all gateways together

Callers saw nothing; endpoints in need did: on the register two that named 11.8 and 12 requests a second got 88 and 111 in four seconds, as before they named it.

Cause: the header is new, and nothing read it (hypothesis 1). Class: a bound that a receiver names for all senders, who know nothing of each other; each keeping to it alone would not have held it either (hypothesis 2).

Change: the platform's adapter decodes the limit; a malformed value says nothing. A gateway that has been told of a limit asks the leader, through its steward, for each request to that endpoint. The leader grants at the named rate; a grant is used within a second of asking, on a clock that counts suspends, or not at all. Nothing is stored at senders, so restarts, pauses and cuts leave nothing to be used late, and what one gateway leaves another gets. A new leader starts without grants. Without a leader gateways have a small share each by their position, as for cold endpoints; that arithmetic moves to fleet.shares, for both. A request that gets no grant goes to the object's other endpoint or is refused at once.

Why it holds: in any four seconds at most five seconds' grants, a burst of a quarter second and twice the shares are sent; that is less than one and a half times four seconds' and five.

Ruled out: shares of the limit alone (a sixteenth of it would be used with demand at one of sixteen gateways); stocks as for rates (an account of every holder for every endpoint).

--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -219,6 +219,15 @@
 )
 ENDPOINT_RESTORED = _define(4011, _INFO, "endpoint serves again", "endpoint service")
 DRAW_FAILED = _define(4012, _INFO, "tokens of a rate could not be drawn", "organisation peer error")
+ENDPOINT_LIMIT_CHANGED = _define(
+    4013,
+    _INFO,
+    "an endpoint names a limit on its requests a second, or none any more",
+    "endpoint service limit",
+)
+GRANT_FAILED = _define(
+    4014, _INFO, "a request to a limited endpoint could not be granted", "endpoint peer error"
+)
 REQUEST_SERVED = _define(
     5001,
     _INFO,
--- a/flamingotiller/fleet/chooser.py
+++ b/flamingotiller/fleet/chooser.py
@@ -19,6 +19,7 @@
     FULL = "preferred endpoints full"
     COLD = "share of a cold endpoint used up"
     SPILL_LIMIT = "limit on the change of region"
+    ENDPOINT_LIMIT = "limit that the endpoint has named used up"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,6 +104,7 @@
         rank: int,
         regions: frozenset[str],
         excluded: collections.abc.Collection[str],
+        limited: collections.abc.Collection[str],
         now: datetime.timedelta,
     ) -> Choice:
         """Returns the endpoint to try next.
@@ -114,6 +116,7 @@
             rank: Priority, 0 is the highest.
             regions: Regions that may serve, empty for all.
             excluded: Endpoints tried before.
+            limited: Endpoints that take no more requests at present by a limit of their own.
             now: Monotonic time.
         """
         order = self._placement.order(view, service, object_id, regions)
@@ -121,16 +124,16 @@
         if not preferred:
             return Choice(None, Obstacle.AVOIDED if order else Obstacle.NO_ENDPOINT)
         candidates = preferred
-        limited = False
+        spill_limited = False
         if len(preferred) > 1 and not excluded:
             if self._spill_limiter.must_spill(now):
                 candidates = [*preferred[1:], preferred[0]]
             elif not self._spill_limiter.may_spill(now):
-                candidates, limited = preferred[:1], True
-        choice = self._first_with_capacity(view, service, candidates, rank, now)
+                candidates, spill_limited = preferred[:1], True
+        choice = self._first_with_capacity(view, service, candidates, rank, limited, now)
         if choice.endpoint is not None:
             self._spill_limiter.record(choice.endpoint is not preferred[0], now)
-        elif limited:
+        elif spill_limited:
             return Choice(None, Obstacle.SPILL_LIMIT)
         return choice
 
@@ -140,6 +143,7 @@
         service: str,
         candidates: list[model.Endpoint],
         rank: int,
+        limited: collections.abc.Collection[str],
         now: datetime.timedelta,
     ) -> Choice:
         """Returns the first endpoint with capacity; a cold one is charged with the request."""
@@ -147,6 +151,9 @@
         rate = record.cold_rate if record is not None else 0.0
         obstacle = Obstacle.FULL
         for endpoint in candidates:
+            if endpoint.id in limited:
+                obstacle = Obstacle.ENDPOINT_LIMIT
+                continue
             health = self.health_by_id[endpoint.id]
             if health.estimated_load(now) >= endpoint.slots * placement.utilisation_limit(rank):
                 continue
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -26,6 +26,7 @@
 from flamingotiller.fleet import (
     accounting,
     chooser,
+    endpoint_limits,
     follower,
     forwarding,
     model,
@@ -62,6 +63,7 @@
 # More than one, because other requests may take the tokens that the first draw brings.
 MAX_DRAWS_PER_REQUEST = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw from the leader
+GRANT_TIMEOUT = clock.seconds(0.3)  # as for a draw: the steward asks the leader
 # After a draw that did not reach its branch, requests are decided without it for this long.
 UNREACHABLE_BRANCH_PAUSE = clock.seconds(0.5)
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
@@ -159,6 +161,9 @@
             placement.ColdStartLimiter(config.cold_overage, config.cold_slack),
             spill.SpillLimiter(config.max_region_shift, rng.random()),
         )
+        self._endpoint_limits = endpoint_limits.KnownLimits()
+        # Grants cannot be had before this time, as the last attempt to ask did not succeed.
+        self._grants_unavailable_until = clock.ZERO
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
@@ -287,6 +292,7 @@
             self._quota.receive(organisation, accounting.Grant(*grant))
         place = presence.Place(**response["place"])
         self._chooser.set_place(place.position, place.count)
+        self._endpoint_limits.position, self._endpoint_limits.count = place.position, place.count
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
 
@@ -559,11 +565,13 @@
         )
         budget.on_first_attempt()
         excluded: list[str] = []
+        # Endpoints that have named a limit and were not granted a request of this job.
+        limited: set[str] = set()
         failure: errors.FlamingotillerError | None = None
         # An endpoint's error response, delivered unless a retry succeeds.
         error_response: forwarding.Response | None = None
         while True:
-            choice = self._choose_endpoint(job, excluded)
+            choice = self._choose_endpoint(job, excluded, limited)
             endpoint = choice.endpoint
             if endpoint is None:
                 if error_response is not None:
@@ -572,13 +580,23 @@
                     # No answer could be sent yet, and there may be room by then.
                     await reply.wait_for_turn()
                     self._check_still_permitted(job, trace)
+                    limited.clear()
                     continue
                 trace.obstacle = choice.obstacle
                 raise self._no_endpoint(job, dispatch_state, failure)
+            send_by: datetime.timedelta | None = None
+            if self._endpoint_limits.rate(endpoint) is not None:
+                send_by = await self._acquire_grant(job, endpoint)
+                if send_by is None:
+                    limited.add(endpoint.id)
+                    continue
+                self._check_still_permitted(job, trace)
+                if not self._is_unchanged(endpoint):
+                    continue
             excluded.append(endpoint.id)
             trace.endpoint, trace.attempts = endpoint.id, len(excluded)
             try:
-                response = await self._attempt(job, dispatch_state, reply, endpoint)
+                response = await self._attempt(job, dispatch_state, reply, endpoint, send_by)
             except (errors.TransportError, dispatch.ShedError) as error:
                 if reply.started:
                     raise
@@ -600,8 +618,54 @@
                 return error_response
             raise self._no_endpoint(job, dispatch_state, failure)
 
+    async def _acquire_grant(
+        self, job: forwarding.Job, endpoint: model.Endpoint
+    ) -> datetime.timedelta | None:
+        """Asks the leader for a request to an endpoint that has named a limit.
+
+        Returns:
+            The time by which the request has to be sent, None if it may not be sent.
+        """
+        now = self.clock.monotonic()
+        send_by = now + endpoint_limits.GRANT_LIFETIME
+        if self._endpoint_limits.is_denied(endpoint, now):
+            return None
+        rate = self._endpoint_limits.rate(endpoint)
+        steward = self._follower.source
+        if steward and now >= self._grants_unavailable_until:
+            body = {"endpoint": endpoint_limits.lifetime_key(endpoint), "rate": rate}
+            timeout = min(GRANT_TIMEOUT, max(clock.ZERO, job.deadline - now))
+            try:
+                response = await self._peer_client.call(
+                    steward, "POST", "/v1/endpoint-grant", body, timeout=timeout
+                )
+                document = client.raise_for_status(response, step="grant", peer=steward)
+                if document["granted"]:
+                    return send_by
+                self._endpoint_limits.deny(endpoint, self.clock.monotonic())
+                return None
+            except errors.FlamingotillerError as error:
+                pause_until = self.clock.monotonic() + UNREACHABLE_BRANCH_PAUSE
+                self._grants_unavailable_until = pause_until
+                events.emit(
+                    events.GRANT_FAILED, endpoint=endpoint.id, peer=steward, error=str(error)
+                )
+        if self._endpoint_limits.try_without_grant(endpoint, self.clock.monotonic()):
+            return self.clock.monotonic() + endpoint_limits.GRANT_LIFETIME
+        return None
+
+    def _is_unchanged(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether an endpoint may still be sent requests, after a wait."""
+        return (
+            self.view.endpoint_by_id.get(endpoint.id) == endpoint
+            and endpoint.zone not in self.view.evacuated
+        )
+
     def _choose_endpoint(
-        self, job: forwarding.Job, excluded: collections.abc.Collection[str]
+        self,
+        job: forwarding.Job,
+        excluded: collections.abc.Collection[str],
+        limited: collections.abc.Collection[str],
     ) -> chooser.Choice:
         return self._chooser.choose(
             self.view,
@@ -610,6 +674,7 @@
             job.rank,
             self._allowed_regions(job),
             excluded,
+            limited,
             self.clock.monotonic(),
         )
 
@@ -648,10 +713,11 @@
         dispatch_state: dispatch.DispatchState,
         reply: server.Reply,
         endpoint: model.Endpoint,
+        send_by: datetime.timedelta | None,
     ) -> forwarding.Response | None:
         health = self._chooser.health_by_id[endpoint.id]
         attempt = forwarding.Attempt(
-            self._endpoint_pool, self._dialect, self.clock, job, dispatch_state, endpoint
+            self._endpoint_pool, self._dialect, self.clock, job, dispatch_state, endpoint, send_by
         )
         started_at = self.clock.monotonic()
         health.in_flight += 1
@@ -667,6 +733,8 @@
             traffic.read += attempt.traffic.read
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
+            if attempt.limit is not None:
+                self._record_limit(endpoint, attempt.limit)
         failed = _is_server_error(response)
         error_rate = self._chooser.error_rate_of(job.service)
         error_rate.record(failed)
@@ -679,6 +747,17 @@
             events.emit(events.ENDPOINT_RESTORED, endpoint=endpoint.id, service=endpoint.service)
         return response
 
+    def _record_limit(self, endpoint: model.Endpoint, statement: forwarding.LimitStatement) -> None:
+        if self._endpoint_limits.record(endpoint, statement.rate):
+            # What the endpoint no longer takes has to go elsewhere at once.
+            self._chooser.suspend_spill_limit(self.clock.monotonic())
+            events.emit(
+                events.ENDPOINT_LIMIT_CHANGED,
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                limit=statement.rate if statement.rate is not None else "",
+            )
+
     def _record_failed_attempt(
         self,
         job: forwarding.Job,
@@ -700,7 +779,10 @@
             load=f"{load.running}+{load.waiting}" if load else "",
             load_age_s=round((now - health.load_at).total_seconds(), 3) if load else "",
         )
-        if isinstance(error, forwarding.MisdirectedError):
+        if isinstance(error, forwarding.GrantExpiredError):
+            # The gateway was late; this tells nothing of the endpoint.
+            avoided = False
+        elif isinstance(error, forwarding.MisdirectedError):
             health.on_failure(now)
             avoided = True
         elif isinstance(error, dispatch.ShedError):
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -14,11 +14,10 @@
 import collections.abc
 import dataclasses
 import datetime
-import hashlib
 import math
 
 from flamingotiller import clock
-from flamingotiller.fleet import model
+from flamingotiller.fleet import model, shares
 
 # Number of endpoints that are tried for an object, and how many local ones come first in the order
 # of an object that stays in the local region; alternatives are compared in docs/MEASUREMENTS.md.
@@ -217,7 +216,7 @@
             order = sorted(candidates, key=lambda e: _score(object_id, e), reverse=True)
             local = [e for e in order if self.is_local(e)]
             remote = [e for e in order if not self.is_local(e)]
-            prefers_local = _unit_hash("region", object_id) < self._local_share(candidates)
+            prefers_local = shares.unit_hash("region", object_id) < self._local_share(candidates)
             order = [*local[:MAX_LOCAL_PREFERRED], *remote] if prefers_local else [*remote, *local]
             self._order_by_key[key] = order
             if len(self._order_by_key) > MAX_CACHED_ORDERS:
@@ -287,13 +286,7 @@
 
     The probability of the highest score is proportional to the number of slots.
     """
-    return _unit_hash(object_id, endpoint.id) ** (1.0 / endpoint.slots)
-
-
-def _unit_hash(*parts: str) -> float:
-    """Returns a hash of the parts, uniform between 0 and 1 and equal in all processes."""
-    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
-    return (int.from_bytes(digest, "big") + 1) / 2**64
+    return shares.unit_hash(object_id, endpoint.id) ** (1.0 / endpoint.slots)
 
 
 class Splitter:
@@ -321,10 +314,6 @@
 class ColdStartLimiter:
     """Limits the rate of requests to cold endpoints over all gateways together.
 
-    The requests per second that an endpoint tolerates are divided among the gateways in whole
-    requests, by each gateway's position among those present. The remainder goes to different
-    gateways for different endpoints.
-
     Args:
         overage: Factor on the rate that a cold endpoint tolerates.
         slack: Requests per second beyond that.
@@ -342,25 +331,15 @@
     def __init__(self, overage: float, slack: float) -> None:
         self._overage = overage
         self._slack = slack
-        self._sent_times_by_endpoint: dict[str, collections.deque[datetime.timedelta]] = {}
+        self._sent = shares.SentRequests(self.WINDOW)
         self.position = 0
         self.count = 0
 
     def allowance(self, endpoint: str, rate: float) -> int:
         """Returns the requests per second that this gateway may send to a cold endpoint."""
-        if not self.count:
-            return 0
         total = int((rate * self._overage + self._slack) * self.SAFETY_FACTOR)
-        offset = int(_unit_hash("cold", endpoint) * self.count)
-        extra = (self.position + offset) % self.count < total % self.count
-        return total // self.count + extra
+        return shares.share_of(total, endpoint, self.position, self.count)
 
     def try_acquire(self, endpoint: str, rate: float, now: datetime.timedelta) -> bool:
         """Returns whether a request may be sent to a cold endpoint, and counts it if so."""
-        sent_times = self._sent_times_by_endpoint.setdefault(endpoint, collections.deque())
-        while sent_times and now - sent_times[0] > self.WINDOW:
-            sent_times.popleft()
-        if len(sent_times) >= self.allowance(endpoint, rate):
-            return False
-        sent_times.append(now)
-        return True
+        return self._sent.try_add(endpoint, self.allowance(endpoint, rate), now)
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import datetime
+import math
 import pathlib
 import random
 import secrets
@@ -31,6 +32,7 @@
 from flamingotiller.fleet import (
     accounting,
     branch,
+    endpoint_limits,
     follower,
     log_membership,
     log_task,
@@ -355,6 +357,7 @@
                     self._accounts_at,
                     self._accounts_delay,
                 ),
+                endpoint_limits.GrantIssuer(),
             )
         return self._leader_state
 
@@ -627,13 +630,37 @@
         )
         return {"grant": dataclasses.astuple(grant)}
 
+    async def _on_endpoint_grant(self, body: typing.Any) -> typing.Any:
+        """Passes a gateway's request for a grant on to the leader."""
+        endpoint, rate = str(body["endpoint"]), float(body["rate"])
+        if not 0 <= rate < math.inf:
+            raise errors.InvalidInputError(f"rate out of range: {rate}", step="grant")
+        arguments = {"endpoint": endpoint, "rate": rate}
+        return await self._execute("grant", arguments, DRAW_TIMEOUT)
+
+    async def _grant(self, arguments: typing.Any) -> typing.Any:
+        """Grants a request to an endpoint, only while this steward holds the leader lease."""
+        leader_state = self._require_leader_state()
+        now = self.clock.monotonic()
+        if not self.log.holds_leader_lease(now):
+            raise errors.UnavailableError(
+                "this steward does not hold the leader lease", step="grant"
+            )
+        granted = leader_state.grant_issuer.grant(arguments["endpoint"], arguments["rate"], now)
+        return {"granted": granted}
+
     def _member_addresses(self) -> list[str]:
         members = self.log.replica.members
         return [*members.voters.values(), *members.learners.values()]
 
     # Calls of operators, endpoints and look-ups
 
-    async def _execute(self, operation: str, arguments: typing.Any) -> typing.Any:
+    async def _execute(
+        self,
+        operation: str,
+        arguments: typing.Any,
+        timeout: datetime.timedelta = FORWARD_TIMEOUT,
+    ) -> typing.Any:
         """Runs an operation at the leader.
 
         Raises:
@@ -646,9 +673,7 @@
         if not leader or leader == self.config.address:
             raise errors.UnavailableError("the leader is not known", step=operation)
         body = {"operation": operation, "arguments": arguments}
-        response = await self._client.call(
-            leader, "POST", "/v1/execute", body, timeout=FORWARD_TIMEOUT
-        )
+        response = await self._client.call(leader, "POST", "/v1/execute", body, timeout=timeout)
         return client.raise_for_status(response, step=operation, peer=leader)
 
     async def _propose(self, command: typing.Any) -> dict[str, typing.Any]:
@@ -809,12 +834,14 @@
         presence: Gateways present.
         registry: When endpoints last reported.
         accounts: Token accounts of organisations.
+        grant_issuer: Grants for requests to endpoints that have named a limit.
     """
 
     since: datetime.timedelta
     presence: presence.GatewayPresence
     registry: registry.Registry
     accounts: accounting.Accounts
+    grant_issuer: endpoint_limits.GrantIssuer
 
 
 _PEER_ROUTES = {
@@ -823,6 +850,7 @@
     "POST /v1/follow": Steward._on_follow,
     "POST /v1/draw": Steward._on_draw,
     "POST /v1/branch-draw": Steward._on_branch_draw,
+    "POST /v1/endpoint-grant": Steward._on_endpoint_grant,
 }
 _OPERATIONS = {
     "propose": Steward._propose,
@@ -830,6 +858,7 @@
     "read": Steward._read,
     "report": Steward._report,
     "leave": Steward._leave,
+    "grant": Steward._grant,
 }
 
 
--- a/flamingotiller/platform/headers.py
+++ b/flamingotiller/platform/headers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
+
 from flamingotiller.fleet import forwarding, placement
 
 _AFFINITY_COOKIE = "X-Affinity-Key"
+_LIMIT = re.compile(r"^[0-9]{1,9}(\.[0-9]{0,9})?$")
 
 
 def parse_load(value: str) -> placement.Load | None:
@@ -15,6 +18,11 @@
     return placement.Load(int(parts[0]), int(parts[1]))
 
 
+def parse_limit(value: str) -> float | None:
+    """Parses the requests per second that an endpoint takes; returns None if malformed."""
+    return float(value) if _LIMIT.match(value) else None
+
+
 def parse_affinity_key(headers: list[tuple[bytes, bytes]]) -> str:
     """Returns the affinity key from a request's cookies, empty if there is none.
 
@@ -39,6 +47,8 @@
     load=b"x-server-load",
     not_run=b"x-not-executed",
     seal=b"x-response-seal",
+    limit=b"server-limit",
     parse_load=parse_load,
+    parse_limit=parse_limit,
     parse_object=parse_affinity_key,
 )
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -8,7 +8,7 @@
 import polling
 
 from flamingotiller import clock, server
-from flamingotiller.fleet import accounting, gateway, model
+from flamingotiller.fleet import accounting, endpoint_limits, gateway, model
 from flamingotiller.platform import headers
 
 
@@ -38,6 +38,9 @@
         self.revision = 1
         self.tokens = {}
         self.silent = False
+        self._issuer = endpoint_limits.GrantIssuer()
+        # Decides on grants for limited endpoints.
+        self.grants = self._grant
         self.polls = []
         self._server = server.Server(self._serve)
 
@@ -50,6 +53,9 @@
         self.items = items
         self.revision += 1
 
+    def _grant(self, endpoint, rate):
+        return self._issuer.grant(endpoint, rate, clock.SystemClock().monotonic())
+
     async def _serve(self, request, reply):
         body = await request.read_json()
         if self.silent:
@@ -61,6 +67,9 @@
             await asyncio.sleep(0.01)
             await reply.json(200, {"grant": [granted, 0]})
             return
+        if request.path == "/v1/endpoint-grant":
+            await reply.json(200, {"granted": self.grants(body["endpoint"], body["rate"])})
+            return
         self.polls.append(body)
         if body["revision"] == self.revision:
             await asyncio.sleep(0.02)
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -340,3 +340,49 @@
                 await follower.report(model.Endpoint("e", 1, 1, "s", "127.0.0.1:1", "a", 4))
 
     asyncio.run(scenario())
+
+
+def test_leader_alone_grants_requests_to_limited_endpoints_and_a_new_one_starts_without_any(
+    tmp_path,
+):
+    """Each gateway kept to an endpoint's limit alone, so all of them together exceeded it."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            followers = [n for n in cluster.by_host.values() if n is not leader]
+            body = {"endpoint": "e 1", "rate": 0.0}
+
+            async def granted(node):
+                # A steward that does not lead, or whose lease has run out, grants nothing.
+                while True:
+                    with contextlib.suppress(errors.UnavailableError, errors.TransportError):
+                        return (await node._on_endpoint_grant(body))["granted"]
+                    await asyncio.sleep(0.02)
+
+            await polling.wait_until(lambda: leader.log.leading_since is not None)
+            issuer = leader._require_leader_state().grant_issuer
+            # Grants accumulate for an hour, up to the burst.
+            issuer.grant("e 1", 0.0, leader.clock.monotonic() - clock.seconds(3600))
+            assert [await granted(node) for node in (*followers, leader)] == [True, False, False]
+            issuer.grant("f 1", 1.0, leader.clock.monotonic() - clock.seconds(3600))
+            await cluster.stop(leader.config.host)
+            await polling.wait_until(lambda: len(cluster.leaders()) == 1)
+            successor = cluster.leaders()[0]
+            assert not await granted(successor)
+            assert not successor._require_leader_state().grant_issuer.grant(
+                "f 1", 1.0, successor.clock.monotonic()
+            )
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("rate", [float("nan"), float("inf"), -1.0, "many", None])
+def test_malformed_rate_of_a_grant_is_refused(tmp_path, rate):
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            node = await cluster.wait_for_voters(3)
+            with pytest.raises((errors.InvalidInputError, TypeError, ValueError)):
+                await node._on_endpoint_grant({"endpoint": "e 1", "rate": rate})
+
+    asyncio.run(scenario())
