Learn of an endpoint's limit from the response's head; split the question for a grant

Cause: a gateway recorded a limit once the attempt had ended, so after a long response that was streamed it learnt of it as late as the caller had read all, while the endpoint counts from when the head was passed on.

Change: the attempt reports what the head says when it arrives. Asking the leader and deciding what follows are two functions; a failed question is logged with its peer.

--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -123,11 +123,12 @@
         job: The request.
         dispatch_state: Dispatch state of the request, which tells whether it may have run.
         endpoint: The endpoint.
+        on_limit: Called with what a response says of the endpoint's limit, as soon as its head has
+            arrived.
         send_by: Time after which the request may not be sent any more, None if there is none.
 
     Attributes:
         load: Load that the endpoint reported with its response, None if it reported none.
-        limit: What its response says of a limit, None if there is no response that tells.
         traffic: Bytes exchanged with the endpoint.
     """
 
@@ -139,6 +140,7 @@
         job: Job,
         dispatch_state: dispatch.DispatchState,
         endpoint: model.Endpoint,
+        on_limit: collections.abc.Callable[[LimitStatement], None],
         send_by: datetime.timedelta | None = None,
     ) -> None:
         self._pool = pool
@@ -147,9 +149,9 @@
         self._job = job
         self._dispatch_state = dispatch_state
         self._endpoint = endpoint
+        self._on_limit = on_limit
         self._send_by = send_by
         self.load: placement.Load | None = None
-        self.limit: LimitStatement | None = None
         self.traffic = wire.Traffic()
 
     def _remaining(self, grace: datetime.timedelta = clock.ZERO) -> datetime.timedelta:
@@ -270,17 +272,16 @@
             raise self._protocol_error("response lacks the request's id or the endpoint's seal")
         load = wire.header(event.headers, self._dialect.load)
         self.load = self._dialect.parse_load(load) if load is not None else None
-        if event.status_code != 421:
-            self.limit = self._limit_statement(event)
+        self._report_limit(event)
         return event
 
-    def _limit_statement(self, head: h11.Response) -> LimitStatement | None:
-        """Returns what a response says of a limit; a malformed value says nothing."""
+    def _report_limit(self, head: h11.Response) -> None:
+        """Reports what a response says of a limit; a malformed value says nothing, and status 421
+        comes from another endpoint."""
         value = wire.header(head.headers, self._dialect.limit)
-        if value is None:
-            return LimitStatement(None)
-        rate = self._dialect.parse_limit(value)
-        return LimitStatement(rate) if rate is not None else None
+        rate = self._dialect.parse_limit(value) if value is not None else None
+        if head.status_code != 421 and (value is None or rate is not None):
+            self._on_limit(LimitStatement(rate))
 
     def _protocol_error(self, message: str) -> errors.ProtocolError:
         return errors.ProtocolError(message, step="read head", peer=self._endpoint.address)
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -64,8 +64,8 @@
 MAX_DRAWS_PER_REQUEST = 3
 DRAW_TIMEOUT = clock.seconds(0.3)  # longer than a steward's own draw from the leader
 GRANT_TIMEOUT = clock.seconds(0.3)  # as for a draw: the steward asks the leader
-# After a draw that did not reach its branch, requests are decided without it for this long.
-UNREACHABLE_BRANCH_PAUSE = clock.seconds(0.5)
+# After a draw or a question for a grant that failed, requests are decided without it for this long.
+UNREACHABLE_STEWARD_PAUSE = clock.seconds(0.5)
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
 # the margin, in which the process ends.
@@ -162,8 +162,8 @@
             spill.SpillLimiter(config.max_region_shift, rng.random()),
         )
         self._endpoint_limits = endpoint_limits.KnownLimits()
-        # Grants cannot be had before this time, as the last attempt to ask did not succeed.
-        self._grants_unavailable_until = clock.ZERO
+        # The leader is not asked for grants before this time, as it could not be reached.
+        self._no_grants_until = clock.ZERO
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
@@ -542,7 +542,7 @@
         except errors.FlamingotillerError as error:
             self._quota.record_lost_draw(organisation, draw)
             if isinstance(error, errors.TransportError):
-                until = self.clock.monotonic() + UNREACHABLE_BRANCH_PAUSE
+                until = self.clock.monotonic() + UNREACHABLE_STEWARD_PAUSE
                 self._unreachable_branch = (steward, until)
             events.emit(
                 events.DRAW_FAILED, organisation=organisation, peer=steward, error=str(error)
@@ -621,38 +621,52 @@
     async def _acquire_grant(
         self, job: forwarding.Job, endpoint: model.Endpoint
     ) -> datetime.timedelta | None:
-        """Asks the leader for a request to an endpoint that has named a limit.
+        """Acquires the permission for one request to an endpoint that has named a limit.
 
         Returns:
             The time by which the request has to be sent, None if it may not be sent.
         """
         now = self.clock.monotonic()
-        send_by = now + endpoint_limits.GRANT_LIFETIME
         if self._endpoint_limits.is_denied(endpoint, now):
             return None
-        rate = self._endpoint_limits.rate(endpoint)
-        steward = self._follower.source
-        if steward and now >= self._grants_unavailable_until:
-            body = {"endpoint": endpoint_limits.lifetime_key(endpoint), "rate": rate}
-            timeout = min(GRANT_TIMEOUT, max(clock.ZERO, job.deadline - now))
-            try:
-                response = await self._peer_client.call(
-                    steward, "POST", "/v1/endpoint-grant", body, timeout=timeout
-                )
-                document = client.raise_for_status(response, step="grant", peer=steward)
-                if document["granted"]:
-                    return send_by
+        try:
+            granted = await self._ask_for_grant(job, endpoint)
+        except errors.FlamingotillerError as error:
+            events.emit(
+                events.GRANT_FAILED, endpoint=endpoint.id, peer=error.peer, error=str(error)
+            )
+            now = self.clock.monotonic()
+            granted = self._endpoint_limits.try_without_grant(endpoint, now)
+        else:
+            if not granted:
                 self._endpoint_limits.deny(endpoint, self.clock.monotonic())
-                return None
-            except errors.FlamingotillerError as error:
-                pause_until = self.clock.monotonic() + UNREACHABLE_BRANCH_PAUSE
-                self._grants_unavailable_until = pause_until
-                events.emit(
-                    events.GRANT_FAILED, endpoint=endpoint.id, peer=steward, error=str(error)
-                )
-        if self._endpoint_limits.try_without_grant(endpoint, self.clock.monotonic()):
-            return self.clock.monotonic() + endpoint_limits.GRANT_LIFETIME
-        return None
+        return now + endpoint_limits.GRANT_LIFETIME if granted else None
+
+    async def _ask_for_grant(self, job: forwarding.Job, endpoint: model.Endpoint) -> bool:
+        """Returns whether the leader grants a request to an endpoint.
+
+        Raises:
+            errors.FlamingotillerError: The leader cannot be asked; after a failure it is not asked
+                again for a moment.
+        """
+        now = self.clock.monotonic()
+        steward = self._follower.source
+        if not steward or now < self._no_grants_until:
+            raise errors.UnavailableError("no steward can be asked", step="grant", peer=steward)
+        body = {
+            "endpoint": endpoint_limits.lifetime_key(endpoint),
+            "rate": self._endpoint_limits.rate(endpoint),
+        }
+        try:
+            response = await self._peer_client.call(
+                steward, "POST", "/v1/endpoint-grant", body,
+                timeout=min(GRANT_TIMEOUT, max(clock.ZERO, job.deadline - now)),
+            )  # fmt: skip
+            document = client.raise_for_status(response, step="grant", peer=steward)
+        except errors.FlamingotillerError:
+            self._no_grants_until = self.clock.monotonic() + UNREACHABLE_STEWARD_PAUSE
+            raise
+        return document.get("granted") is True
 
     def _is_unchanged(self, endpoint: model.Endpoint) -> bool:
         """Returns whether an endpoint may still be sent requests, after a wait."""
@@ -717,7 +731,14 @@
     ) -> forwarding.Response | None:
         health = self._chooser.health_by_id[endpoint.id]
         attempt = forwarding.Attempt(
-            self._endpoint_pool, self._dialect, self.clock, job, dispatch_state, endpoint, send_by
+            self._endpoint_pool,
+            self._dialect,
+            self.clock,
+            job,
+            dispatch_state,
+            endpoint,
+            lambda statement: self._record_limit(endpoint, statement),
+            send_by,
         )
         started_at = self.clock.monotonic()
         health.in_flight += 1
@@ -733,8 +754,6 @@
             traffic.read += attempt.traffic.read
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
-            if attempt.limit is not None:
-                self._record_limit(endpoint, attempt.limit)
         failed = _is_server_error(response)
         error_rate = self._chooser.error_rate_of(job.service)
         error_rate.record(failed)
