Let a gateway's share grow only after the others' have shrunk

Cause: gateways divide what a cold endpoint tolerates by their position and number. Those that return together use their shares as soon as they know their place, while the others have just used, or still use, the larger shares of a smaller number; after a loss of all, the first ones to return are told that they are few.

Change: of the places within the last two seconds (the window, and the time in which all learn of a new number) the one with the smallest share counts, none at all for a gateway that had none. The same holds for the shares of limited endpoints without a leader.

Evidence: test_cold_return_stays_within_the_bound_while_many_gateways_return fails in all twelve cases on the former rule, and passes. The older test of the bound sets the place at a time now, and checks as much as before.

What it costs: a returned gateway sends nothing to cold endpoints for two seconds; their objects' requests go to the second endpoint or are refused at once.

--- a/flamingotiller/fleet/chooser.py
+++ b/flamingotiller/fleet/chooser.py
@@ -56,14 +56,14 @@
         self._spill_limiter = spill_limiter
         self._error_rate_by_service: dict[str, placement.ServiceErrorRate] = {}
 
-    def set_place(self, position: int, count: int) -> None:
+    def set_place(self, position: int, count: int, now: datetime.timedelta) -> None:
         """Sets the gateway's position among those that may be sending, and their number."""
-        self._cold_start_limiter.position, self._cold_start_limiter.count = position, count
+        self._cold_start_limiter.shares.set_place(position, count, now)
 
     @property
     def gateway_count(self) -> int:
         """Number of gateways that may be sending, 0 while unknown."""
-        return self._cold_start_limiter.count
+        return self._cold_start_limiter.shares.count
 
     def on_view_changed(
         self,
--- a/flamingotiller/fleet/endpoint_limits.py
+++ b/flamingotiller/fleet/endpoint_limits.py
@@ -83,16 +83,14 @@
     drops out of the view, since it may come back in the same lifetime.
 
     Attributes:
-        position: Position of this gateway among those present, from 0.
-        count: Number of gateways that may be sending, 0 while unknown.
+        shares: This gateway's shares of what all may send without a leader.
     """
 
     def __init__(self) -> None:
         self._rate_by_lifetime: collections.OrderedDict[str, float] = collections.OrderedDict()
         self._denied_until_by_lifetime: dict[str, datetime.timedelta] = {}
         self._ungranted = shares.SentRequests(UNGRANTED_WINDOW)
-        self.position = 0
-        self.count = 0
+        self.shares = shares.PositionShares(UNGRANTED_WINDOW)
 
     def record(self, endpoint: model.Endpoint, rate: float | None) -> bool:
         """Records what a response names, None for no limit; returns whether a limit began or
@@ -130,8 +128,7 @@
             return True
         lifetime = lifetime_key(endpoint)
         total = int(UNGRANTED_S * rate + UNGRANTED_SLACK)
-        share = shares.share_of(total, lifetime, self.position, self.count)
-        return self._ungranted.try_add(lifetime, share, now)
+        return self._ungranted.try_add(lifetime, self.shares.share(total, lifetime, now), now)
 
 
 def lifetime_key(endpoint: model.Endpoint) -> str:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -291,8 +291,8 @@
         for organisation, grant in response["grants"].items():
             self._quota.receive(organisation, accounting.Grant(*grant))
         place = presence.Place(**response["place"])
-        self._chooser.set_place(place.position, place.count)
-        self._endpoint_limits.position, self._endpoint_limits.count = place.position, place.count
+        self._chooser.set_place(place.position, place.count, now)
+        self._endpoint_limits.shares.set_place(place.position, place.count, now)
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
 
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -319,8 +319,7 @@
         slack: Requests per second beyond that.
 
     Attributes:
-        position: Position of this gateway among those present, from 0.
-        count: Number of gateways that may be sending; 0 while unknown, and then none may be sent.
+        shares: This gateway's shares of what all may send.
     """
 
     # Share of the limit that is used. The rest is a margin for gateways that join or leave, which
@@ -332,14 +331,13 @@
         self._overage = overage
         self._slack = slack
         self._sent = shares.SentRequests(self.WINDOW)
-        self.position = 0
-        self.count = 0
+        self.shares = shares.PositionShares(self.WINDOW)
 
-    def allowance(self, endpoint: str, rate: float) -> int:
+    def allowance(self, endpoint: str, rate: float, now: datetime.timedelta) -> int:
         """Returns the requests per second that this gateway may send to a cold endpoint."""
         total = int((rate * self._overage + self._slack) * self.SAFETY_FACTOR)
-        return shares.share_of(total, endpoint, self.position, self.count)
+        return self.shares.share(total, endpoint, now)
 
     def try_acquire(self, endpoint: str, rate: float, now: datetime.timedelta) -> bool:
         """Returns whether a request may be sent to a cold endpoint, and counts it if so."""
-        return self._sent.try_add(endpoint, self.allowance(endpoint, rate), now)
+        return self._sent.try_add(endpoint, self.allowance(endpoint, rate, now), now)
--- a/flamingotiller/fleet/shares.py
+++ b/flamingotiller/fleet/shares.py
@@ -7,13 +7,58 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import datetime
 import hashlib
 
+from flamingotiller import clock
+
+# Time in which all gateways in touch learn of a changed number of gateways.
+PLACE_PROPAGATION = clock.seconds(1)
 # Endpoints whose requests are counted; idle ones are forgotten once there are more.
 MAX_ENDPOINTS = 4096
 
 
+@dataclasses.dataclass(frozen=True)
+class _Place:
+    position: int
+    count: int
+    since: datetime.timedelta
+
+
+class PositionShares:
+    """One gateway's shares by its position among those that may be sending.
+
+    A larger share counts only after all gateways have learnt of the change and what they have sent
+    with their former shares has left the window. Otherwise gateways that return together add their
+    new shares to the former, larger ones of the others.
+
+    Args:
+        window: Length of the window that shares are for.
+
+    Attributes:
+        count: Number of gateways that may be sending; 0 while unknown, and then none may be sent.
+    """
+
+    def __init__(self, window: datetime.timedelta) -> None:
+        self._settling = window + PLACE_PROPAGATION
+        self._places = collections.deque([_Place(0, 0, datetime.timedelta.min)])
+        self.count = 0
+
+    def set_place(self, position: int, count: int, now: datetime.timedelta) -> None:
+        """Sets the gateway's position, from 0, and the number of gateways."""
+        latest = self._places[-1]
+        if (latest.position, latest.count) != (position, count):
+            self._places.append(_Place(position, count, now))
+        self.count = count
+
+    def share(self, total: int, endpoint: str, now: datetime.timedelta) -> int:
+        """Returns this gateway's share of the requests that all may send to an endpoint."""
+        while len(self._places) > 1 and now - self._places[1].since >= self._settling:
+            self._places.popleft()
+        return min(share_of(total, endpoint, p.position, p.count) for p in self._places)
+
+
 def share_of(total: int, endpoint: str, position: int, count: int) -> int:
     """Returns a gateway's share of the requests that all may send to an endpoint.
 
--- a/tests/test_fleet_endpoint_limits.py
+++ b/tests/test_fleet_endpoint_limits.py
@@ -76,7 +76,7 @@
     def __init__(self, rate, position, count):
         self.limits = endpoint_limits.KnownLimits()
         self.limits.record(ENDPOINT, rate)
-        self.limits.position, self.limits.count = position, count
+        self.limits.shares.set_place(position, count, clock.ZERO)
         self.cut_off_since = None
         self.send_times = []
 
@@ -118,7 +118,7 @@
         ]
         for position, gateway in enumerate(counted):
             if gateway.cut_off_since is None:
-                gateway.limits.position, gateway.limits.count = position, len(counted)
+                gateway.limits.shares.set_place(position, len(counted), now)
         leader = issuer if now >= leaderless_until else None
         for gateway in rng.sample(gateways, count):
             gateway.want(rng, leader, now)
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -431,7 +431,7 @@
 
     async def work():
         async with GatewayHarness() as harness:
-            harness.gateway._chooser.set_place(0, count)
+            harness.gateway._chooser.set_place(0, count, clock.ZERO)
             reserve = harness.gateway._retry_reserve()
             assert reserve >= 1
             assert count or reserve == 1
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -12,6 +12,7 @@
 
 REGION_BY_ZONE = {"t1": "thrace", "t2": "thrace", "b1": "balkan", "d1": "danube", "d2": "danube"}
 NOW = clock.seconds(50)
+LONG_AGO = clock.ZERO
 
 
 def endpoint(number, zone, slots=4, draining=False):
@@ -178,7 +179,7 @@
     limiters = []
     for position in range(count):
         limiter = placement.ColdStartLimiter(1.5, slack)
-        limiter.position, limiter.count = position, count
+        limiter.shares.set_place(position, count, LONG_AGO)
         limiters.append(limiter)
     sent = []
     for step in range(150):
@@ -192,6 +193,39 @@
     assert len(sent) > 0
 
 
+@pytest.mark.parametrize(("count", "returning"), [(16, 9), (24, 13), (24, 24), (182, 100)])
+@pytest.mark.parametrize("seed", range(3))
+def test_cold_return_stays_within_the_bound_while_many_gateways_return(count, returning, seed):
+    """Gateways that returned together used their shares of a cold endpoint while the others, or
+    they themselves, still used the larger shares of a smaller number of gateways."""
+    rng = random.Random(seed)
+    rate, slack, returned_s = 16.0, 5, 1.0
+    limiters = [placement.ColdStartLimiter(1.5, slack) for _ in range(count)]
+    staying = count - returning
+    for position, limiter in enumerate(limiters[:staying]):
+        limiter.shares.set_place(position, staying, LONG_AGO)
+    # Without others the first ones to return are told that they are few.
+    for position, limiter in enumerate(limiters[staying:][: 0 if staying else 3]):
+        limiter.shares.set_place(position, 3, NOW + clock.seconds(returned_s))
+    order = rng.sample(range(count), count)
+    learnt_s = [returned_s + rng.uniform(0.1, 0.9) for _ in limiters]
+    sent = []
+    for step in range(300):
+        at_s = step * 0.02
+        now = NOW + clock.seconds(at_s)
+        for index, limiter in enumerate(limiters):
+            if at_s >= learnt_s[index]:
+                limiter.shares.set_place(order[index], count, now)
+        for limiter in rng.sample(limiters, count):
+            if limiter.try_acquire("e1", rate, now):
+                sent.append(at_s)
+    bound = rate * 1.5 + slack
+    for begin in sent:
+        assert sum(begin <= at < begin + 1 for at in sent) <= bound
+    # Once all have settled the endpoint gets what it tolerates again.
+    assert sum(at >= 4 for at in sent) >= rate
+
+
 def test_gateway_without_a_position_sends_nothing_to_cold_endpoints():
     assert not placement.ColdStartLimiter(1.5, 5).try_acquire("e1", 22, NOW)
 
