Start a gateway without its part of the retry reserve

Callers saw nothing yet.

Cause: all gateways together may make a fixed number of retries in a window beyond a part of the requests. Each started with its whole share of it; one that was restarted brought it a second time into the window in which the process before it had used it.

Change: a gateway starts with one retry; the rest grows with its requests, as ever.

Evidence: test_gateway_starts_without_a_retry_reserve failed for 1, 4 and 16 gateways, which began with 95, 23 and 5 retries, and passes; with 122 there was less than one before.

What it costs: few retries in a gateway's first seconds, up to some ten requests for each.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -89,13 +89,16 @@
 
     Args:
         fraction: Retries that each request adds to the budget.
-        reserve: Largest number of unused retries, and their number at the start.
+        reserve: Largest number of unused retries.
+        unused: Their number at the start, the whole reserve if None.
     """
 
-    def __init__(self, fraction: float = 0.1, reserve: float = 10.0) -> None:
+    def __init__(
+        self, fraction: float = 0.1, reserve: float = 10.0, unused: float | None = None
+    ) -> None:
         self._fraction = fraction
         self._reserve = reserve
-        self._unused = reserve
+        self._unused = reserve if unused is None else min(unused, reserve)
 
     def on_first_attempt(self) -> None:
         """Adds a request's fraction of a retry to the budget."""
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -52,7 +52,7 @@
 # beyond, which all gateways share. The rest is for requests that are counted in another window.
 RETRY_RATIO_FACTOR = 0.95
 RETRY_SLACK_FACTOR = 0.85
-# Least retries that a gateway may make at once after a quiet period.
+# Least retries that a gateway may make at once after a quiet period, and the most after its start.
 MIN_RETRY_RESERVE = 1.0
 STALE_VIEW_RETRY_AFTER_S = 0.5
 # Range of Retry-After for callers over their organisation's rate. Tokens arrive at a steady rate,
@@ -296,6 +296,15 @@
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
 
+    def _retry_budget(self, service: str) -> dispatch.RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            ratio = RETRY_RATIO_FACTOR * self.config.retry_ratio
+            # The process before this one may have used its reserve just now.
+            budget = dispatch.RetryBudget(ratio, self._retry_reserve(), MIN_RETRY_RESERVE)
+            self._budget_by_service[service] = budget
+        return budget
+
     def _retry_reserve(self) -> float:
         count = self._chooser.gateway_count
         if not count:
@@ -557,12 +566,7 @@
         reply: server.Reply,
         trace: _Trace,
     ) -> forwarding.Response | None:
-        budget = self._budget_by_service.setdefault(
-            job.service,
-            dispatch.RetryBudget(
-                RETRY_RATIO_FACTOR * self.config.retry_ratio, self._retry_reserve()
-            ),
-        )
+        budget = self._retry_budget(job.service)
         budget.on_first_attempt()
         excluded: list[str] = []
         # Endpoints that have named a limit and were not granted a request of this job.
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -440,6 +440,26 @@
     run(work())
 
 
+@pytest.mark.parametrize("count", [1, 4, 16, 122])
+def test_gateway_starts_without_a_retry_reserve(count):
+    """Gateways that were restarted each brought a new reserve into the window in which the ones
+    before them had used theirs, so that all retries together exceeded the operator's bound."""
+
+    async def work():
+        async with GatewayHarness() as harness:
+            harness.gateway._chooser.set_place(0, count, clock.ZERO)
+            budget = harness.gateway._retry_budget("s")
+            taken = sum(budget.take() for _ in range(200))
+            assert taken <= gateway.MIN_RETRY_RESERVE
+            requests = 1000
+            for _ in range(requests):
+                budget.on_first_attempt()
+            taken = sum(budget.take() for _ in range(200))
+            assert 1 <= taken <= max(1, harness.gateway._retry_reserve())
+
+    run(work())
+
+
 def test_key_that_is_withdrawn_while_the_body_arrives_runs_nothing():
     """The gateway knows of the withdrawal before the rest of the body comes."""
 
