Choose again when the view changed while a grant was asked for

Callers saw nothing; found in review. Cause: a request that had waited for its grant was sent to the endpoint that was chosen before the wait if that endpoint was unchanged, though its route might no longer allow the endpoint's region. Class: a permission used after a wait.

Change: after a change of the view the choice is made again, and the grant is not used. A failed question for a grant is logged once for each question, not for each request that is decided without one.

Evidence: test_request_that_waited_for_a_grant_goes_only_where_it_still_may failed before for the region (the request ran) and passes; drains and evacuations held before.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -590,12 +590,14 @@
                 raise self._no_endpoint(job, dispatch_state, failure)
             send_by: datetime.timedelta | None = None
             if self._endpoint_limits.rate(endpoint) is not None:
+                revision = self.revision
                 send_by = await self._acquire_grant(job, endpoint)
                 if send_by is None:
                     limited.add(endpoint.id)
                     continue
                 self._check_still_permitted(job, trace)
-                if not self._is_unchanged(endpoint):
+                if self.revision != revision:
+                    # The endpoint may be draining, evacuated or not allowed any more.
                     continue
             excluded.append(endpoint.id)
             trace.endpoint, trace.attempts = endpoint.id, len(excluded)
@@ -635,10 +637,7 @@
             return None
         try:
             granted = await self._ask_for_grant(job, endpoint)
-        except errors.FlamingotillerError as error:
-            events.emit(
-                events.GRANT_FAILED, endpoint=endpoint.id, peer=error.peer, error=str(error)
-            )
+        except errors.UnavailableError:
             now = self.clock.monotonic()
             granted = self._endpoint_limits.try_without_grant(endpoint, now)
         else:
@@ -650,7 +649,7 @@
         """Returns whether the leader grants a request to an endpoint.
 
         Raises:
-            errors.FlamingotillerError: The leader cannot be asked; after a failure it is not asked
+            errors.UnavailableError: The leader cannot be asked; after a failure it is not asked
                 again for a moment.
         """
         now = self.clock.monotonic()
@@ -667,18 +666,14 @@
                 timeout=min(GRANT_TIMEOUT, max(clock.ZERO, job.deadline - now)),
             )  # fmt: skip
             document = client.raise_for_status(response, step="grant", peer=steward)
-        except errors.FlamingotillerError:
+        except errors.FlamingotillerError as error:
             self._no_grants_until = self.clock.monotonic() + UNREACHABLE_STEWARD_PAUSE
-            raise
+            events.emit(events.GRANT_FAILED, endpoint=endpoint.id, peer=steward, error=str(error))
+            raise errors.UnavailableError(
+                "the leader cannot be asked", step="grant", peer=steward
+            ) from error
         return document.get("granted") is True
 
-    def _is_unchanged(self, endpoint: model.Endpoint) -> bool:
-        """Returns whether an endpoint may still be sent requests, after a wait."""
-        return (
-            self.view.endpoint_by_id.get(endpoint.id) == endpoint
-            and endpoint.zone not in self.view.evacuated
-        )
-
     def _choose_endpoint(
         self,
         job: forwarding.Job,
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -7,7 +7,7 @@
 
 import polling
 
-from flamingotiller import clock, server
+from flamingotiller import clock, errors, server
 from flamingotiller.fleet import accounting, endpoint_limits, gateway, model
 from flamingotiller.platform import headers
 
@@ -39,8 +39,9 @@
         self.tokens = {}
         self.silent = False
         self._issuer = endpoint_limits.GrantIssuer()
-        # Decides on grants for limited endpoints.
+        # Decides on grants for limited endpoints; None if no leader can be asked.
         self.grants = self._grant
+        self.grant_delay_s = 0.0
         self.polls = []
         self._server = server.Server(self._serve)
 
@@ -68,7 +69,11 @@
             await reply.json(200, {"grant": [granted, 0]})
             return
         if request.path == "/v1/endpoint-grant":
-            await reply.json(200, {"granted": self.grants(body["endpoint"], body["rate"])})
+            if self.grants is None:
+                raise errors.UnavailableError("no leader", step="grant")
+            granted = self.grants(body["endpoint"], body["rate"])
+            await asyncio.sleep(self.grant_delay_s)
+            await reply.json(200, {"granted": granted})
             return
         self.polls.append(body)
         if body["revision"] == self.revision:
--- a/tests/test_fleet_endpoint_limits.py
+++ b/tests/test_fleet_endpoint_limits.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flamingotiller import clock
-from flamingotiller.fleet import endpoint_limits, model
+from flamingotiller.fleet import endpoint_limits, model, shares
 from flamingotiller.platform import headers
 
 LIMIT = 5.0
@@ -195,3 +195,46 @@
             assert harness.run_count == 1
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize("change", ["draining", "evacuated", "region"])
+def test_request_that_waited_for_a_grant_goes_only_where_it_still_may(change):
+    """A request that waited for its grant was sent by the view from before the wait."""
+
+    async def work():
+        endpoint = fleet_fakes.FakeEndpoint(handler=naming("5"))
+        async with fleet_fakes.GatewayHarness(endpoint) as harness:
+            assert (await harness.send(fleet_fakes.make_request(id_="i0"))).status == 200
+            fields = {
+                "draining": {"records": [endpoint.record(draining=True)]},
+                "evacuated": {"evacuated": ["t1"]},
+                "region": {"routes": [fleet_fakes.make_route(regions=frozenset({"balkan"}))]},
+            }
+
+            def change_and_grant(key, rate):
+                harness.publish(**fields[change])
+                return True
+
+            harness.steward.grants = change_and_grant
+            harness.steward.grant_delay_s = 0.2
+            response = await harness.send(fleet_fakes.make_request(id_="i1"))
+            assert response.status == 503
+            assert harness.run_count == 1
+
+    asyncio.run(work())
+
+
+def test_gateway_that_cannot_ask_sends_no_more_than_its_share():
+    async def work():
+        endpoint = fleet_fakes.FakeEndpoint(handler=naming("40"))
+        async with fleet_fakes.GatewayHarness(endpoint) as harness:
+            assert (await harness.send(fleet_fakes.make_request(id_="i0"))).status == 200
+            harness.steward.grants = None
+            settled = shares.PositionShares(endpoint_limits.UNGRANTED_WINDOW)
+            settled.set_place(0, 1, clock.seconds(-60))
+            harness.gateway._endpoint_limits.shares = settled
+            await send_many(harness, 40, first=1)
+            assert harness.run_count - 1 <= bound(40.0)
+            assert harness.run_count - 1 >= 1
+
+    asyncio.run(work())
