Let a steward find the leader through the members that its log names

Found by looking for what keeps a steward out of service after a restart.

Cause: a steward that does not lead polls the leader, and knew no address but its seeds until a first response. With seeds that are gone or exchanged it never confirmed its state, though it was a voter and its log named all members; it refused every gateway's poll.

Change: while no response has named the members, those of its log are asked as well.

Evidence: test_steward_whose_seeds_are_gone_follows_the_leader_that_its_log_names failed before ('the condition did not become true') and passes.

Not shown: that this is what the users saw. Gateways have no disk and only their seeds.

--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -249,9 +249,15 @@
             if self.log.is_leader:
                 self._draw_as_leader()
             else:
+                if not self._follower.known_peers:
+                    # After a restart the seeds may be gone, while the log still names its members.
+                    self._follower.known_peers = self._other_members()
                 await self._follower.step()
             await asyncio.sleep(POLL_PAUSE.total_seconds())
 
+    def _other_members(self) -> list[str]:
+        return [peer for peer in self._member_addresses() if peer != self.config.address]
+
     def _build_poll(self) -> dict[str, typing.Any]:
         now = self.clock.monotonic()
         draws = self._branch.draws(now)
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -48,10 +48,10 @@
     def seeds(self):
         return tuple(f"{host}:{self.port}" for host in self.hosts[: self.seed_count])
 
-    async def start(self, host, found=False, zone=None):
+    async def start(self, host, found=False, zone=None, seeds=None):
         config = steward.StewardSettings(
             name=f"core-{host}", zone=zone or f"zone-{host}", region="r", host=host,
-            peer_port=self.port, seeds=self.seeds, found=found, data=self.folder / host,
+            peer_port=self.port, seeds=seeds or self.seeds, found=found, data=self.folder / host,
             report_interval=clock.seconds(1.5), region_by_zone={"a": "r"},
             tolerance=accounting.Tolerance(),
         )  # fmt: skip
@@ -342,6 +342,25 @@
     asyncio.run(scenario())
 
 
+def test_steward_whose_seeds_are_gone_follows_the_leader_that_its_log_names(tmp_path):
+    """After a restart a steward whose settings named only instances that were gone never confirmed
+    its state, and so served no gateway, though it was a member of the log."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.configure(update(5, 0)))
+            host = next(h for h in cluster.hosts if cluster.by_host[h] is not leader)
+            await cluster.stop(host)
+            node = await cluster.start(host, seeds=(f"127.0.0.99:{cluster.port}",))
+            await polling.wait_until(
+                lambda: node._state_age(node.clock.monotonic()) < steward.MAX_STATE_AGE
+            )
+            assert node.state.version == 5
+
+    asyncio.run(scenario())
+
+
 def test_leader_alone_grants_requests_to_limited_endpoints_and_a_new_one_starts_without_any(
     tmp_path,
 ):
