--- a/flamingotiller/fleet/shares.py
+++ b/flamingotiller/fleet/shares.py
@@ -72,6 +72,7 @@
     """
     if not count:
         return 0
+    # All builds of a fleet have to compute the same offset, so the text that is hashed stays.
     offset = int(unit_hash("cold", endpoint) * count)
     extra = (position + offset) % count < total % count
     return total // count + extra
