Log the fingerprint of requests that are refused, fail or are tried again

Events 5002, 5003 and 5004 carry a digest of organisation, method, host, target and body; the same request has the same one at every gateway.

--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -239,21 +239,22 @@
     _INFO,
     "request refused; it has not run",
     "request_id route service organisation status code detail retry_after_s ms tries revision"
-    " age_s",
+    " age_s fingerprint",
     "docs/OPERATIONS.md, from a request's id to its cause",
 )
 REQUEST_FAILED = _define(
     5003,
     _WARN,
     "request failed; it may have run",
-    "request_id route service organisation status code detail ms tries revision age_s",
+    "request_id route service organisation status code detail ms tries revision age_s"
+    " fingerprint",
     "docs/OPERATIONS.md, from a request's id to its cause",
 )
 TRY_FAILED = _define(
     5004,
     _INFO,
     "a try at an endpoint failed",
-    "request_id endpoint kind error sent_ms left_ms load load_age_s",
+    "request_id endpoint kind error sent_ms left_ms load load_age_s fingerprint",
 )
 CALLER_DISCONNECTED = _define(
     5005, _INFO, "caller left before its answer", "request_id endpoint ms"
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -74,6 +74,7 @@
         deadline: Monotonic time at which the final response is due.
         body: Part of the body that has been buffered.
         body_ended: Whether ``body`` is the complete body.
+        fingerprint: Digest that is the same when the request is resent, with a new id.
     """
 
     request: server.Request
@@ -87,6 +88,7 @@
     deadline: datetime.timedelta
     body: bytes = b""
     body_ended: bool = False
+    fingerprint: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -19,6 +19,7 @@
     errors,
     events,
     metrics,
+    quarantine,
     server,
     supervisor,
     wire,
@@ -387,6 +388,7 @@
         organisation = self._authenticate(request, route, trace)
         job = self._make_job(request, route, organisation, trace)
         await self._read_body(job)
+        trace.fingerprint = job.fingerprint = _fingerprint(job)
         await self._admit(job)
         try:
             self._check_still_permitted(job, trace)
@@ -796,6 +798,7 @@
             left_ms=round((job.deadline - now) / clock.MILLISECOND),
             load=f"{load.running}+{load.waiting}" if load else "",
             load_age_s=round((now - health.load_at).total_seconds(), 3) if load else "",
+            fingerprint=job.fingerprint,
         )
         if isinstance(error, forwarding.GrantExpiredError):
             # The gateway was late; this tells nothing of the endpoint.
@@ -853,6 +856,7 @@
             "tries": trace.attempts,
             "revision": self.revision,
             "age_s": self._staleness_s(now),
+            "fingerprint": trace.fingerprint,
         }
         if dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
             events.emit(events.REQUEST_REFUSED, retry_after_s=error.retry_after_s, **fields)
@@ -913,6 +917,7 @@
     endpoint: str = ""
     attempts: int = 0
     obstacle: chooser.Obstacle | None = None
+    fingerprint: str = ""
 
 
 def _is_server_error(response: forwarding.Response | None) -> bool:
@@ -934,6 +939,13 @@
     return error
 
 
+def _fingerprint(job: forwarding.Job) -> str:
+    request = job.request
+    organisation = job.organisation.name if job.organisation is not None else ""
+    target = _host(request) + request.target
+    return quarantine.request_fingerprint(organisation, request.method, target, job.body)
+
+
 def _host(request: server.Request) -> str:
     """Returns the host that a request names, in lower case and without a port."""
     host = request.header("host") or ""
