Stop requests that end endpoints over all gateways of a fleet

Callers of a service saw a tenth to a third of their requests refused or failed for as long as one request was sent again and again: each of its arrivals ended up to two endpoints, 23 to 28 in all, because gateways avoided the ended endpoint and never the request.

Cause: entry instances quarantine such requests since long, the gateways of fleets did not; no gateway related an end to the requests in flight there, and what one sees no other one knew. The class is a protection that one request path has and another one lacks, hidden by a page that said so (docs/PROOFS.md, 'not quarantined here yet').

Now a gateway that loses a connection finds out whether the endpoint has ended (it refuses a connection while another endpoint accepts one), tells the leader before any request from there is tried again, and the leader counts the ends of all gateways by the endpoint's lifetime. A request at two ends is a suspect in the log, known everywhere; it runs on trial only, one of a service at a time, and a trial that ends its endpoint quarantines it. A gateway that can tell nobody goes by what it has seen and refuses after two ends.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -21,6 +21,9 @@
 # Connections are not reused this close to the peer's idle timeout, so that a request does not cross
 # the peer's close. The margin covers the one-way delay and a late timer.
 IDLE_TIMEOUT_MARGIN = clock.seconds(0.5)
+# How long a connection may be used that was opened ahead of a request: the peer has not said yet
+# when it closes idle connections.
+UNUSED_LIFETIME = clock.seconds(1)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,6 +91,22 @@
             self.discard(peer, connection)
         return await self._connect(peer), False
 
+    async def add_idle(self, peer: str, max_idle: int = MAX_IDLE_PER_PEER) -> None:
+        """Opens one more connection to ``peer`` and keeps it for the next request.
+
+        Raises:
+            errors.ConnectError: No connection could be opened in time.
+        """
+        connection = await self._connect(peer)
+        idle = self._idle_by_peer.setdefault(peer, collections.deque())
+        if len(idle) >= max_idle:
+            self.discard(peer, connection)
+            return
+        connection.idle = True
+        now = asyncio.get_running_loop().time()
+        connection.idle_until = now + UNUSED_LIFETIME.total_seconds()
+        idle.append(connection)
+
     async def _connect(self, peer: str) -> wire.Connection:
         host, _, port = peer.rpartition(":")
         loop = asyncio.get_running_loop()
--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -228,6 +228,29 @@
 GRANT_FAILED = _define(
     4014, _INFO, "a request to a limited endpoint could not be granted", "endpoint peer error"
 )
+ENDPOINT_ENDED = _define(
+    4015,
+    _WARN,
+    "an endpoint has ended with requests in flight",
+    "endpoint service fingerprints",
+    "look for a fingerprint that many of these lines have",
+)
+SUSPECT_ADDED = _define(
+    4016,
+    _WARN,
+    "a request was in flight at several ends of endpoints; it runs on trial only",
+    "fingerprint ends",
+)
+SUSPECT_CLEARED = _define(
+    4017, _INFO, "a request is not suspected of ending endpoints any more", "fingerprint reason"
+)
+SUSPECT_CALL_FAILED = _define(
+    4018,
+    _WARN,
+    "the leader could not be told of ends of endpoints, or asked for a trial",
+    "call peer error",
+    "check the control instances and the links to them",
+)
 REQUEST_SERVED = _define(
     5001,
     _INFO,
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -75,6 +75,9 @@
         body: Part of the body that has been buffered.
         body_ended: Whether ``body`` is the complete body.
         fingerprint: Digest that is the same when the request is resent, with a new id.
+        on_trial: Whether it is a suspect that runs on trial.
+        send_by: Time after which it may not be sent any more, None if there is none.
+        endpoint_ended: Whether the endpoint of its last attempt has ended.
     """
 
     request: server.Request
@@ -89,6 +92,9 @@
     body: bytes = b""
     body_ended: bool = False
     fingerprint: str = ""
+    on_trial: bool = False
+    send_by: datetime.timedelta | None = None
+    endpoint_ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -27,6 +27,7 @@
 from flamingotiller.fleet import (
     accounting,
     chooser,
+    crash_reports,
     endpoint_limits,
     follower,
     forwarding,
@@ -34,8 +35,10 @@
     placement,
     presence,
     quota,
+    reachability,
     returning,
     spill,
+    suspects,
 )
 
 # Subtracted from the revocation bound to allow for clocks that run at different rates. Nothing else
@@ -67,6 +70,9 @@
 GRANT_TIMEOUT = clock.seconds(0.3)  # as for a draw: the steward asks the leader
 # After a draw or a question for a grant that failed, requests are decided without it for this long.
 UNREACHABLE_STEWARD_PAUSE = clock.seconds(0.5)
+CRASH_CALL_TIMEOUT = clock.seconds(0.35)  # longer than the leader's time to commit
+# Retry-After while another suspect is on trial, which takes about one request.
+SUSPECT_RETRY_AFTER_S = 1.0
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
 # the margin, in which the process ends.
@@ -162,9 +168,12 @@
             placement.ColdStartLimiter(config.cold_overage, config.cold_slack),
             spill.SpillLimiter(config.max_region_shift, rng.random()),
         )
+        self._prober = reachability.Prober(self._endpoint_pool, rng)
+        self._crash_reports = crash_reports.CrashReports(self._prober, self._call_about_crash, clk)
         self._endpoint_limits = endpoint_limits.KnownLimits()
         # The leader is not asked for grants before this time, as it could not be reached.
         self._no_grants_until = clock.ZERO
+        self._no_crash_calls_until = clock.ZERO
         self._splitter_by_route: dict[str, placement.Splitter] = {}
         self._budget_by_service: dict[str, dispatch.RetryBudget] = {}
         self._draw_by_organisation: dict[str, asyncio.Future[None]] = {}
@@ -195,6 +204,7 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._peer_pool.close)
             stack.push_async_callback(self._endpoint_pool.close)
+            stack.push_async_callback(self._crash_reports.close)
             host, _, port = self.config.address.rpartition(":")
             self.listening = (host, await self._server.start(host, int(port)))
             stack.push_async_callback(self._supervisor.close)
@@ -296,6 +306,7 @@
         self._endpoint_limits.shares.set_place(place.position, place.count, now)
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
+        self._crash_reports.deliver_soon()
 
     def _retry_budget(self, service: str) -> dispatch.RetryBudget:
         budget = self._budget_by_service.get(service)
@@ -322,6 +333,10 @@
         self._chooser.on_view_changed(before, self.view.endpoint_by_id, now)
         if any(key.startswith((model.EVACUATION, model.ENDPOINT)) for key in items):
             self._chooser.suspend_spill_limit(now)
+        for key, document in items.items():
+            kind, _, name = key.partition("/")
+            if kind == model.SUSPECT and document is None:
+                self._crash_reports.clear(name)
         self._apply_server_limits()
         events.emit(
             events.STATE_IN_FORCE,
@@ -389,19 +404,74 @@
         job = self._make_job(request, route, organisation, trace)
         await self._read_body(job)
         trace.fingerprint = job.fingerprint = _fingerprint(job)
-        await self._admit(job)
+        await self._check_suspect(job)
         try:
-            self._check_still_permitted(job, trace)
-            response = await self._dispatch(job, dispatch_state, reply, trace)
+            response = await self._admit_and_dispatch(job, dispatch_state, reply, trace)
         except BaseException:
-            if organisation is not None and dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
-                self._quota.refund(organisation.name)
+            if job.on_trial:
+                self._crash_reports.report_trial(job, _failed_trial(job, dispatch_state))
             raise
+        if job.on_trial:
+            self._crash_reports.report_trial(job, suspects.TrialOutcome.PASSED)
         if response is not None:
             headers = forwarding.caller_headers(response, self._dialect.request_id, job.request_id)
             await reply.send(response.status, response.body, headers)
         self._record_served(job, reply.status, trace)
 
+    async def _admit_and_dispatch(
+        self,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+        trace: _Trace,
+    ) -> forwarding.Response | None:
+        organisation = job.organisation
+        await self._admit(job)
+        try:
+            self._check_still_permitted(job, trace)
+            return await self._dispatch(job, dispatch_state, reply, trace)
+        except BaseException:
+            if organisation is not None and dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
+                self._quota.refund(organisation.name)
+            raise
+
+    async def _check_suspect(self, job: forwarding.Job) -> None:
+        """Begins a trial of a request that may have ended endpoints.
+
+        Raises:
+            errors.RefusedError: It is quarantined, or it cannot have a trial now.
+        """
+        suspect = self.view.suspect_by_fingerprint.get(job.fingerprint)
+        if suspect is None and not self._crash_reports.is_suspect(job.fingerprint):
+            return
+        if suspect is not None and suspect.quarantined:
+            retry_after_s = suspects.QUARANTINE_LIFETIME.total_seconds()
+            raise _refused(503, "quarantined", retry_after_s=retry_after_s)
+        job.send_by = await self._crash_reports.begin_trial(job)
+        if job.send_by is None:
+            raise _refused(503, "suspect", retry_after_s=SUSPECT_RETRY_AFTER_S)
+        job.on_trial = True
+
+    def _may_end_endpoints(self, job: forwarding.Job) -> bool:
+        return job.on_trial or self._crash_reports.is_suspect(job.fingerprint)
+
+    async def _call_about_crash(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        """Calls a steward; after a failure none is called again for a moment."""
+        steward = self._branch()
+        if not steward or self.clock.monotonic() < self._no_crash_calls_until:
+            raise errors.UnavailableError("no steward can be called", step=path, peer=steward)
+        try:
+            response = await self._peer_client.call(
+                steward, "POST", path, body, timeout=CRASH_CALL_TIMEOUT
+            )
+            return client.raise_for_status(response, step=path, peer=steward)
+        except errors.FlamingotillerError as error:
+            self._no_crash_calls_until = self.clock.monotonic() + UNREACHABLE_STEWARD_PAUSE
+            events.emit(events.SUSPECT_CALL_FAILED, call=path, peer=steward, error=str(error))
+            raise
+
     def _find_route(self, request: server.Request, trace: _Trace) -> model.Route:
         if not self.view.config_version:
             raise _refused(503, "no-configuration", retry_after_s=STALE_VIEW_RETRY_AFTER_S)
@@ -590,13 +660,14 @@
                     continue
                 trace.obstacle = choice.obstacle
                 raise self._no_endpoint(job, dispatch_state, failure)
-            send_by: datetime.timedelta | None = None
+            send_by = job.send_by
             if self._endpoint_limits.rate(endpoint) is not None:
                 revision = self.revision
-                send_by = await self._acquire_grant(job, endpoint)
-                if send_by is None:
+                grant_until = await self._acquire_grant(job, endpoint)
+                if grant_until is None:
                     limited.add(endpoint.id)
                     continue
+                send_by = min(send_by or grant_until, grant_until)
                 self._check_still_permitted(job, trace)
                 if self.revision != revision:
                     # The endpoint may be draining, evacuated or not allowed any more.
@@ -606,6 +677,10 @@
             try:
                 response = await self._attempt(job, dispatch_state, reply, endpoint, send_by)
             except (errors.TransportError, dispatch.ShedError) as error:
+                if isinstance(error, errors.ConnectionLostError):
+                    job.endpoint_ended = await self._crash_reports.on_connection_lost(
+                        endpoint, job.fingerprint, self.view.endpoint_by_id.values()
+                    )
                 if reply.started:
                     raise
                 failure = error
@@ -613,10 +688,11 @@
                 if not _is_server_error(response):
                     return response
                 error_response = response
+            may_run_twice = job.route.idempotent and not self._may_end_endpoints(job)
             may_retry = (
                 len(excluded) < job.route.max_attempts
                 and job.body_ended
-                and dispatch_state.may_retry(job.route.idempotent)
+                and dispatch_state.may_retry(may_run_twice)
                 and self.clock.monotonic() < job.deadline
                 and budget.take()
             )
@@ -939,6 +1015,17 @@
     return error
 
 
+def _failed_trial(
+    job: forwarding.Job, dispatch_state: dispatch.DispatchState
+) -> suspects.TrialOutcome:
+    """Returns the outcome of a trial that brought no response."""
+    if dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
+        return suspects.TrialOutcome.NOT_RUN
+    if job.endpoint_ended:
+        return suspects.TrialOutcome.FAILED
+    return suspects.TrialOutcome.UNKNOWN
+
+
 def _fingerprint(job: forwarding.Job) -> str:
     request = job.request
     organisation = job.organisation.name if job.organisation is not None else ""
--- a/flamingotiller/fleet/model.py
+++ b/flamingotiller/fleet/model.py
@@ -14,6 +14,7 @@
 
 ROUTE, SERVICE, ORGANISATION = "route", "service", "organisation"
 LIMITS, EVACUATION, ENDPOINT, VERSION = "limits", "evacuation", "endpoint", "version"
+SUSPECT = "suspect"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -139,6 +140,19 @@
     cold_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Suspect:
+    """A request that was in flight when endpoints ended, by its fingerprint.
+
+    Attributes:
+        trials: Number of times that it was run on trial.
+        quarantined: Whether it is refused and gets no more trials.
+    """
+
+    trials: int
+    quarantined: bool
+
+
 def to_document(item: typing.Any) -> Document:
     """Returns the JSON form of one of this module's data classes."""
     return {name: _to_json(value) for name, value in vars(item).items()}
@@ -190,6 +204,7 @@
         route_by_name: Routes.
         evacuated: Availability zones that are evacuated and get no requests.
         limits: Limits on callers.
+        suspect_by_fingerprint: Requests that may have ended endpoints.
     """
 
     def __init__(self) -> None:
@@ -199,6 +214,7 @@
         self.service_by_name: dict[str, Service] = {}
         self.evacuated: set[str] = set()
         self.limits = Limits()
+        self.suspect_by_fingerprint: dict[str, Suspect] = {}
         self.route_by_name: dict[str, Route] = {}
         self._routes_by_host: dict[str, list[Route]] = {}
         self._organisation_by_digest: dict[str, str] = {}
@@ -276,6 +292,11 @@
         endpoint = self.endpoint_by_id[name] = Endpoint(**document)
         self._endpoint_ids_by_service.setdefault(endpoint.service, set()).add(name)
 
+    def _apply_suspect(self, name: str, document: Document | None) -> None:
+        self.suspect_by_fingerprint.pop(name, None)
+        if document is not None:
+            self.suspect_by_fingerprint[name] = Suspect(**document)
+
     def _apply_version(self, name: str, document: Document | None) -> None:
         self.config_version = document["version"] if document else 0
 
@@ -288,4 +309,5 @@
     EVACUATION: View._apply_evacuation,
     ENDPOINT: View._apply_endpoint,
     VERSION: View._apply_version,
+    SUSPECT: View._apply_suspect,
 }
--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -147,6 +147,20 @@
         self.zone_by_identity[command["identity"]] = command["zone"]
         return ACCEPTED
 
+    def _suspect(self, command: dict[str, typing.Any]) -> str:
+        for fingerprint, document in command["documents"].items():
+            self.table.put(model.subject(model.SUSPECT, fingerprint), document)
+        return ACCEPTED
+
+    def suspect_by_fingerprint(self) -> dict[str, model.Suspect]:
+        """Returns the requests that may have ended endpoints."""
+        prefix = model.subject(model.SUSPECT)
+        return {
+            subject.removeprefix(prefix): model.Suspect(**document)
+            for subject, document in self.table.item_by_subject.items()
+            if subject.startswith(prefix)
+        }
+
     def _record_latest(self, id_: str, born_ms: int, sequence: int) -> None:
         self._latest_by_id.pop(id_, None)
         self._latest_by_id[id_] = (born_ms, sequence)
@@ -206,4 +220,5 @@
     "report": FleetState._report,
     "leave": FleetState._leave,
     "locate": FleetState._locate,
+    "suspect": FleetState._suspect,
 }
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -41,6 +41,8 @@
     presence,
     registry,
     state,
+    suspects,
+    trial_court,
 )
 
 TIMING = replica.Timing(heartbeat=clock.seconds(0.15), election_timeout=clock.seconds(0.7))
@@ -63,6 +65,12 @@
 # Draws from the leader per call: other gateways may take the tokens that the first one brings.
 MAX_DRAWS_PER_CALL = 2
 DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
+# Time for the leader to commit a suspect or a trial; a caller may be waiting for it.
+SUSPECT_TIMEOUT = clock.seconds(0.3)
+# Ends of endpoints in one report, and requests that were in flight at one of them.
+MAX_REPORTED_ENDS = 64
+MAX_REQUESTS_PER_END = 1024
+MAX_FINGERPRINT_LENGTH = 64
 # How long a steward waits for an update's base version before it passes the whole update on.
 BASE_VERSION_TIMEOUT = clock.seconds(0.3)
 # A new leader publishes its list of gateways only after gateways have had this long to reach it.
@@ -343,6 +351,7 @@
                 self._set_gateway_list(leader_state.presence.gateway_list(now))
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
                 await self._remove_silent_endpoints(leader_state, now)
+                await leader_state.court.expire()
                 await self._adjust_members(now)
 
     def _get_leader_state(self, now: datetime.timedelta) -> _LeaderState | None:
@@ -364,6 +373,11 @@
                     self._accounts_delay,
                 ),
                 endpoint_limits.GrantIssuer(),
+                trial_court.TrialCourt(
+                    lambda: self.state,
+                    lambda command: self.log.propose(command, DECISION_TIMEOUT),
+                    self.clock,
+                ),
             )
         return self._leader_state
 
@@ -655,6 +669,67 @@
         granted = leader_state.grant_issuer.grant(arguments["endpoint"], arguments["rate"], now)
         return {"granted": granted}
 
+    async def _on_ends(self, body: typing.Any) -> typing.Any:
+        """Passes the ends of endpoints that a gateway has seen on to the leader."""
+        fingerprints_by_end = {
+            str(end): [_fingerprint(f) for f in fingerprints]
+            for end, fingerprints in body["ends"].items()
+        }
+        most = max(map(len, fingerprints_by_end.values()), default=0)
+        if len(fingerprints_by_end) > MAX_REPORTED_ENDS or most > MAX_REQUESTS_PER_END:
+            raise errors.InvalidInputError("report is too long", step="ends")
+        return await self._execute("ends", fingerprints_by_end, SUSPECT_TIMEOUT)
+
+    async def _record_ends(self, arguments: typing.Any) -> typing.Any:
+        return {"suspects": await self._require_leader_state().court.record_ends(arguments)}
+
+    async def _on_trial(self, body: typing.Any) -> typing.Any:
+        """Passes a gateway's request for a trial on to the leader, with the ends that it knows."""
+        duration_s = float(body["duration_s"])
+        if not 0 <= duration_s < math.inf:
+            raise errors.InvalidInputError(f"duration out of range: {duration_s}", step="trial")
+        arguments = {
+            "trial": str(body["trial"]),
+            "fingerprint": _fingerprint(body["fingerprint"]),
+            "service": str(body["service"]),
+            "duration_s": duration_s,
+            "ends": [str(end) for end in body["ends"][:MAX_REPORTED_ENDS]],
+        }
+        return await self._execute("trial", arguments, SUSPECT_TIMEOUT)
+
+    async def _begin_trial(self, arguments: typing.Any) -> typing.Any:
+        """Grants a trial, only while this steward holds the leader lease."""
+        court = self._require_leader_state().court
+        if not self.log.holds_leader_lease(self.clock.monotonic()):
+            raise errors.UnavailableError(
+                "this steward does not hold the leader lease", step="trial"
+            )
+        fingerprint = arguments["fingerprint"]
+        await court.record_ends({end: [fingerprint] for end in arguments["ends"]})
+        duration = clock.seconds(arguments["duration_s"])
+        granted = await court.begin_trial(
+            arguments["trial"], fingerprint, arguments["service"], duration
+        )
+        return {"granted": granted}
+
+    async def _on_trial_outcome(self, body: typing.Any) -> typing.Any:
+        """Passes the outcome of a trial on to the leader."""
+        arguments = {
+            "trial": str(body["trial"]),
+            "fingerprint": _fingerprint(body["fingerprint"]),
+            "service": str(body["service"]),
+            "outcome": suspects.TrialOutcome(body["outcome"]).value,
+        }
+        return await self._execute("trial-outcome", arguments, SUSPECT_TIMEOUT)
+
+    async def _end_trial(self, arguments: typing.Any) -> typing.Any:
+        outcome = suspects.TrialOutcome(arguments["outcome"])
+        court = self._require_leader_state().court
+        await court.end_trial(
+            arguments["trial"], arguments["fingerprint"], arguments["service"], outcome
+        )
+        return {}
+
     def _member_addresses(self) -> list[str]:
         members = self.log.replica.members
         return [*members.voters.values(), *members.learners.values()]
@@ -841,6 +916,7 @@
         registry: When endpoints last reported.
         accounts: Token accounts of organisations.
         grant_issuer: Grants for requests to endpoints that have named a limit.
+        court: Requests that may have ended endpoints, and their trials.
     """
 
     since: datetime.timedelta
@@ -848,6 +924,7 @@
     registry: registry.Registry
     accounts: accounting.Accounts
     grant_issuer: endpoint_limits.GrantIssuer
+    court: trial_court.TrialCourt
 
 
 _PEER_ROUTES = {
@@ -857,6 +934,9 @@
     "POST /v1/draw": Steward._on_draw,
     "POST /v1/branch-draw": Steward._on_branch_draw,
     "POST /v1/endpoint-grant": Steward._on_endpoint_grant,
+    "POST /v1/ends": Steward._on_ends,
+    "POST /v1/trial": Steward._on_trial,
+    "POST /v1/trial-outcome": Steward._on_trial_outcome,
 }
 _OPERATIONS = {
     "propose": Steward._propose,
@@ -865,9 +945,18 @@
     "report": Steward._report,
     "leave": Steward._leave,
     "grant": Steward._grant,
+    "ends": Steward._record_ends,
+    "trial": Steward._begin_trial,
+    "trial-outcome": Steward._end_trial,
 }
 
 
+def _fingerprint(value: typing.Any) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_FINGERPRINT_LENGTH:
+        raise errors.InvalidInputError("expected a request's fingerprint", step="suspects")
+    return value
+
+
 def _log_handler_error(error: BaseException, peer: str) -> None:
     events.emit(events.HANDLER_FAILED, peer=peer, error=repr(error))
 
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -29,6 +29,7 @@
         self.zone = ZONES[number % len(ZONES)]
         self.port = 0
         self.ends = 0
+        self.running = 0
         self._writers = set()
         self._listener = None
 
@@ -48,7 +49,11 @@
     def end(self):
         """Ends the process, as a crash does."""
         self.ends += 1
+        self.running = 0
         self._listener.close()
+        self.reset_connections()
+
+    def reset_connections(self):
         for writer in self._writers:
             writer.transport.abort()
 
@@ -60,9 +65,11 @@
                 request = await fleet_fakes.read_message(reader)
                 path = request.start_line.split()[1]
                 self.fleet.runs.append((asyncio.get_running_loop().time(), path))
+                self.running += 1
                 await asyncio.sleep(self.fleet.work_s)
                 if self.ends != lifetime:
                     break
+                self.running -= 1
                 if path == CRASHING_PATH:
                     self.fleet.crash(self)
                     break
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -138,7 +138,7 @@
 
 FLEET_PURE = {
     "accounting", "branch", "log_membership", "model", "patch", "placement", "presence", "quota",
-    "registry", "spill", "state", "table",
+    "registry", "spill", "state", "suspects", "table",
 }  # fmt: skip
 
 
