Relay requests through other gateways while this one reaches no endpoint

Cause: no state of a gateway stood for 'no path'. It took the loss for failures of one endpoint after the other, avoided them all and refused, or waited for connections that hung until each request's deadline; and it knew no other gateway. The class is the same as that of the ends of endpoints: what one gateway sees stays with it, and it draws conclusions about the endpoints that only a view from elsewhere could confirm.

Now it samples endpoints of all zones when a connection fails or responses stay out.

Evidence: the eight cases of the test failed before and pass; tests with requests that may run once, a bound region, no gateway with a path, no steward, paths that come back, and endpoints that ended.

--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -251,6 +251,14 @@
     "call peer error",
     "check the control instances and the links to them",
 )
+PATHS_LOST = _define(
+    3205,
+    _WARN,
+    "no endpoint can be reached; requests are relayed to other gateways",
+    "endpoints",
+    "check the links between this instance and the endpoints",
+)
+PATHS_RESTORED = _define(3206, _INFO, "endpoints can be reached again", "")
 REQUEST_SERVED = _define(
     5001,
     _INFO,
--- a/flamingotiller/fleet/chooser.py
+++ b/flamingotiller/fleet/chooser.py
@@ -88,6 +88,11 @@
         health = self.health_by_id.setdefault(endpoint.id, placement.EndpointHealth())
         health.cold_until = now + clock.seconds(endpoint.cold_s)
 
+    def forget_failures(self) -> None:
+        """Lets all endpoints be tried again."""
+        for health in self.health_by_id.values():
+            health.forget_failures()
+
     def suspend_spill_limit(self, now: datetime.timedelta) -> None:
         """Lets any number of requests change region for a while, as endpoints have changed."""
         self._spill_limiter.suspend(now)
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -1,4 +1,4 @@
-"""One attempt to forward a request to an endpoint, with the checks of the endpoint's response."""
+"""One attempt to forward a request, with the checks of the response."""
 
 from __future__ import annotations
 
@@ -122,7 +122,7 @@
 
 
 class Attempt:
-    """Sends a request to one endpoint and reads the response.
+    """Sends a request to one address and reads the response.
 
     Args:
         pool: Connections to endpoints.
@@ -130,14 +130,11 @@
         clk: Clock.
         job: The request.
         dispatch_state: Dispatch state of the request, which tells whether it may have run.
-        endpoint: The endpoint.
-        on_limit: Called with what a response says of the endpoint's limit, as soon as its head has
-            arrived.
+        address: Where to send it, ``IP:port``.
         send_by: Time after which the request may not be sent any more, None if there is none.
 
     Attributes:
-        load: Load that the endpoint reported with its response, None if it reported none.
-        traffic: Bytes exchanged with the endpoint.
+        traffic: Bytes exchanged.
     """
 
     def __init__(
@@ -147,8 +144,7 @@
         clk: clock.Clock,
         job: Job,
         dispatch_state: dispatch.DispatchState,
-        endpoint: model.Endpoint,
-        on_limit: collections.abc.Callable[[LimitStatement], None],
+        address: str,
         send_by: datetime.timedelta | None = None,
     ) -> None:
         self._pool = pool
@@ -156,18 +152,14 @@
         self._clock = clk
         self._job = job
         self._dispatch_state = dispatch_state
-        self._endpoint = endpoint
-        self._on_limit = on_limit
+        self._address = address
         self._send_by = send_by
-        self.load: placement.Load | None = None
         self.traffic = wire.Traffic()
 
     def _remaining(self, grace: datetime.timedelta = clock.ZERO) -> datetime.timedelta:
         remaining = self._job.deadline + grace - self._clock.monotonic()
         if remaining <= clock.ZERO:
-            raise errors.ExchangeTimeoutError(
-                "deadline passed", step="forward", peer=self._endpoint.address
-            )
+            raise errors.ExchangeTimeoutError("deadline passed", step="forward", peer=self._address)
         return remaining
 
     def _reading_time(self) -> datetime.timedelta:
@@ -186,7 +178,7 @@
             errors.TransportError: The exchange failed; ``dispatch_state`` tells whether the request
                 may have run.
         """
-        address = self._endpoint.address
+        address = self._address
         link, _ = await self._pool.acquire(address)
         not_run: dispatch.ShedError | None = None
         try:
@@ -216,7 +208,7 @@
             raise GrantExpiredError(
                 "the grant expired before the request was sent",
                 step="forward",
-                peer=self._endpoint.address,
+                peer=self._address,
             )
 
     def _count_traffic(self, link: wire.Connection) -> None:
@@ -237,22 +229,15 @@
 
     def _head(self) -> h11.Request:
         job, dialect = self._job, self._dialect
-        replaced = (
-            dialect.deadline_ms,
-            dialect.expected_endpoint,
-            dialect.organisation,
-            dialect.key,
-        )
+        replaced = {dialect.deadline_ms, b"content-length", *self._replaced_headers()}
         headers = [
             (name, value)
             for name, value in dispatch.forwarded_headers(job.request.headers)
-            if name not in replaced and name != b"content-length"
+            if name not in replaced
         ]
         remaining_ms = max(1, int(self._remaining() / clock.MILLISECOND))
         headers.append((dialect.deadline_ms, b"%d" % remaining_ms))
-        headers.append((dialect.expected_endpoint, self._endpoint.id.encode()))
-        if job.organisation is not None:
-            headers.append((dialect.organisation, job.organisation.name.encode()))
+        headers += self._added_headers()
         length = len(job.body) if job.body_ended else job.request.declared_length()
         if length is None:
             headers.append((b"transfer-encoding", b"chunked"))
@@ -260,6 +245,14 @@
             headers.append((b"content-length", b"%d" % length))
         return h11.Request(method=job.request.method, target=job.request.target, headers=headers)
 
+    def _replaced_headers(self) -> tuple[bytes, ...]:
+        """Returns the caller's headers that are not passed on."""
+        return ()
+
+    def _added_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns the headers of this system's own."""
+        return []
+
     async def _read_head(self, link: wire.Connection) -> h11.Response:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await link.next_event(self._reading_time())
@@ -269,7 +262,7 @@
             raise self._protocol_error("too many informational responses")
         if not isinstance(event, h11.Response):
             raise errors.ConnectionLostError(
-                "connection ended without a response", step="read head", peer=self._endpoint.address
+                "connection ended without a response", step="read head", peer=self._address
             )
         echoed = wire.header(event.headers, self._dialect.request_id)
         if echoed is not None and echoed != self._job.request_id:
@@ -278,35 +271,19 @@
             echoed is None or wire.header(event.headers, self._dialect.seal) is None
         ):
             raise self._protocol_error("response lacks the request's id or the endpoint's seal")
-        load = wire.header(event.headers, self._dialect.load)
-        self.load = self._dialect.parse_load(load) if load is not None else None
-        self._report_limit(event)
+        self._on_head(event)
         return event
 
-    def _report_limit(self, head: h11.Response) -> None:
-        """Reports what a response says of a limit; a malformed value says nothing, and status 421
-        comes from another endpoint."""
-        value = wire.header(head.headers, self._dialect.limit)
-        rate = self._dialect.parse_limit(value) if value is not None else None
-        if head.status_code != 421 and (value is None or rate is not None):
-            self._on_limit(LimitStatement(rate))
+    def _on_head(self, head: h11.Response) -> None:
+        """Records what the head of the final response says."""
 
     def _protocol_error(self, message: str) -> errors.ProtocolError:
-        return errors.ProtocolError(message, step="read head", peer=self._endpoint.address)
+        return errors.ProtocolError(message, step="read head", peer=self._address)
 
     def _not_run_error(self, head: h11.Response) -> dispatch.ShedError | None:
         """Returns the error of a response that says that the request did not run, and records it;
         None for any other response."""
-        misdirected = head.status_code == 421
-        if not misdirected and wire.header(head.headers, self._dialect.not_run) is None:
-            return None
-        self._dispatch_state.mark_not_run()
-        error_type = MisdirectedError if misdirected else dispatch.ShedError
-        return error_type(
-            f"endpoint did not run the request: status {head.status_code}",
-            step="forward",
-            peer=self._endpoint.address,
-        )
+        return None
 
     async def _read_body(
         self, link: wire.Connection, head: h11.Response, reply: server.Reply
@@ -340,7 +317,7 @@
             return bytes(event.data)
         if link.broken:
             raise errors.ConnectionLostError(
-                "response was truncated", step="read body", peer=self._endpoint.address
+                "response was truncated", step="read body", peer=self._address
             )
         return None
 
@@ -370,10 +347,81 @@
             raise errors.ExchangeTimeoutError(
                 "the response was not transferred by the deadline",
                 step="stream",
-                peer=self._endpoint.address,
+                peer=self._address,
             ) from error
 
 
+class EndpointAttempt(Attempt):
+    """Sends a request to an endpoint.
+
+    Args:
+        pool: As for ``Attempt``, like the arguments up to ``send_by``.
+        dialect: Header names.
+        clk: Clock.
+        job: The request.
+        dispatch_state: Dispatch state of the request.
+        endpoint: The endpoint.
+        on_limit: Called with what a response says of the endpoint's limit, as soon as its head has
+            arrived.
+        send_by: Time after which the request may not be sent any more.
+
+    Attributes:
+        load: Load that the endpoint reported with its response, None if it reported none.
+    """
+
+    def __init__(
+        self,
+        pool: client.ConnectionPool,
+        dialect: Dialect,
+        clk: clock.Clock,
+        job: Job,
+        dispatch_state: dispatch.DispatchState,
+        endpoint: model.Endpoint,
+        on_limit: collections.abc.Callable[[LimitStatement], None],
+        send_by: datetime.timedelta | None = None,
+    ) -> None:
+        super().__init__(pool, dialect, clk, job, dispatch_state, endpoint.address, send_by)
+        self._endpoint = endpoint
+        self._on_limit = on_limit
+        self.load: placement.Load | None = None
+
+    def _replaced_headers(self) -> tuple[bytes, ...]:
+        dialect = self._dialect
+        return dialect.expected_endpoint, dialect.organisation, dialect.key
+
+    def _added_headers(self) -> list[tuple[bytes, bytes]]:
+        headers = [(self._dialect.expected_endpoint, self._endpoint.id.encode())]
+        organisation = self._job.organisation
+        if organisation is not None:
+            headers.append((self._dialect.organisation, organisation.name.encode()))
+        return headers
+
+    def _on_head(self, head: h11.Response) -> None:
+        load = wire.header(head.headers, self._dialect.load)
+        self.load = self._dialect.parse_load(load) if load is not None else None
+        self._report_limit(head)
+
+    def _report_limit(self, head: h11.Response) -> None:
+        """Reports what a response says of a limit; a malformed value says nothing, and status 421
+        comes from another endpoint."""
+        value = wire.header(head.headers, self._dialect.limit)
+        rate = self._dialect.parse_limit(value) if value is not None else None
+        if head.status_code != 421 and (value is None or rate is not None):
+            self._on_limit(LimitStatement(rate))
+
+    def _not_run_error(self, head: h11.Response) -> dispatch.ShedError | None:
+        misdirected = head.status_code == 421
+        if not misdirected and wire.header(head.headers, self._dialect.not_run) is None:
+            return None
+        self._dispatch_state.mark_not_run()
+        error_type = MisdirectedError if misdirected else dispatch.ShedError
+        return error_type(
+            f"endpoint did not run the request: status {head.status_code}",
+            step="forward",
+            peer=self._address,
+        )
+
+
 def _declared_length(head: h11.Response) -> int:
     """Returns the length that a response declares, -1 if it declares none."""
     value = wire.header(head.headers, b"content-length")
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -36,6 +36,7 @@
     presence,
     quota,
     reachability,
+    relaying,
     returning,
     spill,
     suspects,
@@ -73,6 +74,9 @@
 CRASH_CALL_TIMEOUT = clock.seconds(0.35)  # longer than the leader's time to commit
 # Retry-After while another suspect is on trial, which takes about one request.
 SUSPECT_RETRY_AFTER_S = 1.0
+# Other gateways that one request is relayed to, if the ones before did not take it.
+MAX_RELAY_ATTEMPTS = 3
+NO_PATH_RETRY_AFTER_S = 0.5
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
 # the margin, in which the process ends.
@@ -169,6 +173,11 @@
             spill.SpillLimiter(config.max_region_shift, rng.random()),
         )
         self._prober = reachability.Prober(self._endpoint_pool, rng)
+        self._paths = reachability.PathMonitor(
+            self._prober, lambda: self.view.endpoint_by_id.values(), clk, self._on_paths_changed
+        )
+        self._relays = relaying.RelayList(config.region, rng)
+        self._relay_pool = client.ConnectionPool(ENDPOINT_CONNECT_TIMEOUT)
         self._crash_reports = crash_reports.CrashReports(self._prober, self._call_about_crash, clk)
         self._endpoint_limits = endpoint_limits.KnownLimits()
         # The leader is not asked for grants before this time, as it could not be reached.
@@ -181,7 +190,7 @@
         self._unreachable_branch = ("", clock.ZERO)
         self._peer_client = client.Client(self._peer_pool)
         self._endpoint_traffic_by_distance = {
-            distance: wire.Traffic() for distance in ("zone", "region", "remote")
+            distance: wire.Traffic() for distance in ("zone", "region", "remote", "relay")
         }
         self._zone_by_steward: dict[str, str] = {}
         self._polled_draws: dict[str, accounting.Draw] = {}
@@ -204,12 +213,14 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._peer_pool.close)
             stack.push_async_callback(self._endpoint_pool.close)
+            stack.push_async_callback(self._relay_pool.close)
             stack.push_async_callback(self._crash_reports.close)
             host, _, port = self.config.address.rpartition(":")
             self.listening = (host, await self._server.start(host, int(port)))
             stack.push_async_callback(self._supervisor.close)
             stack.push_async_callback(self._server.close)
             self._supervisor.spawn("follower", self._follower.run)
+            self._supervisor.spawn("paths", self._paths.run)
             self._stack = stack.pop_all()
 
     def reconfigure(self, config: GatewaySettings) -> None:
@@ -252,17 +263,19 @@
     def _build_poll(self) -> dict[str, typing.Any]:
         gateway = presence.Gateway(
             self.config.name,
-            self.config.address,
+            f"{self.listening[0]}:{self.listening[1]}",
             self.config.zone,
             self.config.region,
             self.ready(),
+            self._paths.lost,
         )
         if self.staleness() > self.config.revocation_bound - REVOCATION_MARGIN:
             # Branches account for a gateway's tokens only while it may use them.
             self._quota.drop()
         draws = self._polled_draws = self._quota.draws(self.config.name, self.clock.monotonic())
         return {
-            "gateway": dataclasses.asdict(gateway),
+            "gateway": gateway.to_wire(),
+            "wants_relays": self._paths.lost or self._relays.is_due(self.clock.monotonic()),
             "revision": self.revision,
             "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
         }
@@ -306,6 +319,8 @@
         self._endpoint_limits.shares.set_place(place.position, place.count, now)
         for budget in self._budget_by_service.values():
             budget.set_reserve(self._retry_reserve())
+        if response.get("relays") is not None:
+            self._relays.update(response["relays"], now)
         self._crash_reports.deliver_soon()
 
     def _retry_budget(self, service: str) -> dispatch.RetryBudget:
@@ -404,6 +419,23 @@
         job = self._make_job(request, route, organisation, trace)
         await self._read_body(job)
         trace.fingerprint = job.fingerprint = _fingerprint(job)
+        if self._paths.lost:
+            response = await self._relay(job, dispatch_state, reply, trace)
+        else:
+            response = await self._serve_here(job, dispatch_state, reply, trace)
+        if response is not None:
+            headers = forwarding.caller_headers(response, self._dialect.request_id, job.request_id)
+            await reply.send(response.status, response.body, headers)
+        self._record_served(job, reply.status, trace)
+
+    async def _serve_here(
+        self,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+        trace: _Trace,
+    ) -> forwarding.Response | None:
+        """Serves a request at an endpoint; returns the response unless it has been streamed."""
         await self._check_suspect(job)
         try:
             response = await self._admit_and_dispatch(job, dispatch_state, reply, trace)
@@ -413,10 +445,81 @@
             raise
         if job.on_trial:
             self._crash_reports.report_trial(job, suspects.TrialOutcome.PASSED)
-        if response is not None:
-            headers = forwarding.caller_headers(response, self._dialect.request_id, job.request_id)
-            await reply.send(response.status, response.body, headers)
-        self._record_served(job, reply.status, trace)
+        return response
+
+    async def _relay(
+        self,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+        trace: _Trace,
+    ) -> forwarding.Response | None:
+        """Has another gateway serve a request, as this one reaches no endpoint; returns the
+        response unless it has been streamed.
+
+        Raises:
+            errors.RefusedError: No other gateway took it, or the one that did broke off.
+        """
+        if job.request.header(relaying.RELAYED_HEADER.decode()) is not None:
+            raise _refused(503, "no-path", retry_after_s=NO_PATH_RETRY_AFTER_S)
+        tried: list[str] = []
+        failure: errors.FlamingotillerError | None = None
+        regions = self._allowed_regions(job)
+        while len(tried) < MAX_RELAY_ATTEMPTS and self.clock.monotonic() < job.deadline:
+            if tried and not (job.body_ended and self._may_relay_again(job, dispatch_state)):
+                break
+            relay = self._relays.choose(regions, tried, self.clock.monotonic())
+            if relay is None:
+                break
+            tried.append(relay.address)
+            trace.endpoint, trace.attempts = f"gateway {relay.address}", len(tried)
+            try:
+                return await self._relay_to(relay, job, dispatch_state, reply)
+            except (errors.TransportError, dispatch.ShedError) as error:
+                if reply.started:
+                    raise
+                failure = error
+        if dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
+            raise _refused(503, "no-path", failure, retry_after_s=NO_PATH_RETRY_AFTER_S)
+        raise self._no_endpoint(job, dispatch_state, failure)
+
+    def _may_relay_again(self, job: forwarding.Job, dispatch_state: dispatch.DispatchState) -> bool:
+        if dispatch_state.outcome is dispatch.Outcome.NOT_RUN:
+            return True
+        # It may have reached an endpoint.
+        return job.route.idempotent and self._retry_budget(job.service).take()
+
+    async def _relay_to(
+        self,
+        relay: relaying.Relay,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+    ) -> forwarding.Response | None:
+        attempt = relaying.RelayAttempt(
+            self._relay_pool, self._dialect, self.clock, job, dispatch_state, relay.address
+        )
+        started_at = self.clock.monotonic()
+        try:
+            with self._relays.in_flight(relay):
+                return await attempt.run(reply)
+        except (errors.TransportError, dispatch.ShedError) as error:
+            if not isinstance(error, errors.ExchangeTimeoutError):
+                self._relays.avoid(relay, self.clock.monotonic())
+            self._log_failed_try(job, f"gateway {relay.address}", error, started_at)
+            raise
+        finally:
+            traffic = self._endpoint_traffic_by_distance["relay"]
+            traffic.written += attempt.traffic.written
+            traffic.read += attempt.traffic.read
+
+    def _on_paths_changed(self, lost: bool) -> None:
+        if lost:
+            events.emit(events.PATHS_LOST, endpoints=len(self.view.endpoint_by_id))
+        else:
+            # What was seen of endpoints while they could not be reached tells nothing of them.
+            self._chooser.forget_failures()
+            events.emit(events.PATHS_RESTORED)
 
     async def _admit_and_dispatch(
         self,
@@ -807,7 +910,7 @@
         send_by: datetime.timedelta | None,
     ) -> forwarding.Response | None:
         health = self._chooser.health_by_id[endpoint.id]
-        attempt = forwarding.Attempt(
+        attempt = forwarding.EndpointAttempt(
             self._endpoint_pool,
             self._dialect,
             self.clock,
@@ -820,8 +923,14 @@
         started_at = self.clock.monotonic()
         health.in_flight += 1
         try:
-            response = await attempt.run(reply)
+            with self._paths.in_flight():
+                response = await attempt.run(reply)
+            self._paths.on_response()
         except (errors.TransportError, dispatch.ShedError) as error:
+            if isinstance(error, errors.ConnectError):
+                self._paths.on_connect_failed()
+            elif isinstance(error, dispatch.ShedError):
+                self._paths.on_response()
             self._record_failed_attempt(job, endpoint, health, error, started_at)
             raise
         finally:
@@ -864,18 +973,7 @@
     ) -> None:
         now = self.clock.monotonic()
         load = health.load
-        events.emit(
-            events.TRY_FAILED,
-            request_id=job.request_id,
-            endpoint=endpoint.id,
-            kind=type(error).__name__,
-            error=error.message,
-            sent_ms=self._ms_since(started_at),
-            left_ms=round((job.deadline - now) / clock.MILLISECOND),
-            load=f"{load.running}+{load.waiting}" if load else "",
-            load_age_s=round((now - health.load_at).total_seconds(), 3) if load else "",
-            fingerprint=job.fingerprint,
-        )
+        self._log_failed_try(job, endpoint.id, error, started_at, health)
         if isinstance(error, forwarding.GrantExpiredError):
             # The gateway was late; this tells nothing of the endpoint.
             avoided = False
@@ -896,6 +994,30 @@
         if avoided:
             self._on_endpoint_avoided(endpoint, health, type(error).__name__)
 
+    def _log_failed_try(
+        self,
+        job: forwarding.Job,
+        target: str,
+        error: errors.FlamingotillerError,
+        started_at: datetime.timedelta,
+        health: placement.EndpointHealth | None = None,
+    ) -> None:
+        now = self.clock.monotonic()
+        load = health.load if health is not None else None
+        age = now - health.load_at if health is not None else clock.ZERO
+        events.emit(
+            events.TRY_FAILED,
+            request_id=job.request_id,
+            endpoint=target,
+            kind=type(error).__name__,
+            error=error.message,
+            sent_ms=self._ms_since(started_at),
+            left_ms=round((job.deadline - now) / clock.MILLISECOND),
+            load=f"{load.running}+{load.waiting}" if load else "",
+            load_age_s=round(age.total_seconds(), 3) if load else "",
+            fingerprint=job.fingerprint,
+        )
+
     def _on_endpoint_avoided(
         self, endpoint: model.Endpoint, health: placement.EndpointHealth, reason: str
     ) -> None:
@@ -945,6 +1067,8 @@
             outcome=dispatch_state.outcome.value,
         )
         headers = [(self._dialect.request_id, trace.request_id.encode("latin-1"))]
+        if error.code == "no-path":
+            headers.append((relaying.NO_PATH_HEADER, b"1"))
         if error.retry_after_s is not None:
             headers.append((b"retry-after", f"{error.retry_after_s:.3f}".encode()))
         body = {"error": error.code, "outcome": dispatch_state.outcome.value}
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -135,6 +135,12 @@
         self.failures += 1
         self.avoid_until = now + min(duration, MAX_AVOIDANCE)
 
+    def forget_failures(self) -> None:
+        """Forgets failures that were not due to the endpoint."""
+        self.failures = self.timeouts = 0
+        self.error_rate = 0.0
+        self.avoid_until = clock.ZERO
+
     def estimated_load(self, now: datetime.timedelta) -> float:
         """Returns the estimated number of requests at the endpoint, from all gateways.
 
--- a/flamingotiller/fleet/presence.py
+++ b/flamingotiller/fleet/presence.py
@@ -13,12 +13,15 @@
 import typing
 
 from flamingotiller import clock
+from flamingotiller.fleet import shares
 
 # How long look-ups list a gateway after its last poll: several poll intervals, and well within the
 # time after which they must not name it.
 LISTED_FOR = clock.seconds(3)
 # How long a gateway counts after its last poll, because it may still be sending requests.
 COUNTED_FOR = clock.seconds(5)
+# Gateways that one gateway is told of, to relay requests to.
+MAX_RELAYS = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,6 +34,7 @@
         zone: Its availability zone.
         region: Its region.
         ready: Whether it accepts new callers.
+        stranded: Whether it reaches no endpoint and relays requests to other gateways.
     """
 
     name: str
@@ -38,6 +42,15 @@
     zone: str
     region: str
     ready: bool
+    stranded: bool = False
+
+    def to_wire(self) -> dict[str, typing.Any]:
+        """Returns the JSON form. Builds that do not know ``stranded`` get it only while it is
+        set."""
+        document = dataclasses.asdict(self)
+        if not self.stranded:
+            del document["stranded"]
+        return document
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +87,26 @@
 
     def to_wire(self) -> dict[str, typing.Any]:
         """Returns the JSON form."""
-        return dataclasses.asdict(self)
+        return {
+            "version": self.version,
+            "present": [gateway.to_wire() for gateway in self.present],
+            "known": [gateway.to_wire() for gateway in self.known],
+        }
+
+    def relays(self, name: str, region: str) -> list[tuple[str, str]]:
+        """Returns addresses and regions of gateways that can serve the callers of another one.
+
+        Different gateways get different ones, about half of them in their own region.
+
+        Args:
+            name: The gateway that asks.
+            region: Its region.
+        """
+        others = [g for g in self.present if g.name != name and not g.stranded]
+        others.sort(key=lambda g: shares.unit_hash(name, g.name))
+        near = [g for g in others if g.region == region][: MAX_RELAYS // 2]
+        far = [g for g in others if g.region != region][: MAX_RELAYS - len(near)]
+        return [(g.address, g.region) for g in (*near, *far)]
 
     @classmethod
     def from_wire(cls, document: dict[str, typing.Any]) -> GatewayList:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -277,7 +277,7 @@
             "identity": self.log.replica.identity,
             "address": self.config.address,
             "gateways": [
-                [dataclasses.asdict(gateway), silence.total_seconds()]
+                [gateway.to_wire(), silence.total_seconds()]
                 for gateway, silence in self._local_gateways.silences(now)
             ],
             "draws": {name: dataclasses.astuple(draw) for name, draw in draws.items()},
@@ -534,7 +534,10 @@
             for organisation, draw in body["draws"].items()
         }
         delta = self.state.table.since(min(body["revision"], self.state.table.revision))
+        wants_relays = body.get("wants_relays", False)
+        relays = self._gateway_list.relays(gateway.name, gateway.region) if wants_relays else None
         return {
+            "relays": relays,
             "age_s": self._state_age(now).total_seconds(),
             "members": self._member_addresses(),
             "zones": self._zone_by_address(),
@@ -896,8 +899,10 @@
 
     def locate(self, region: str, zone: str) -> list[str]:
         """Returns addresses of ready gateways for a caller: those of its region, else all; empty
-        when none is known. The caller's zone is not used."""
-        gateways = [g for g in self._gateway_list.present if g.ready]
+        when none is known. The caller's zone is not used. Gateways that reach no endpoint are named
+        only if there are no others."""
+        ready = [g for g in self._gateway_list.present if g.ready]
+        gateways = [g for g in ready if not g.stranded] or ready
         in_region = [g for g in gateways if g.region == region]
         return [g.address for g in in_region or gateways]
 
--- a/tests/test_fleet_stranded.py
+++ b/tests/test_fleet_stranded.py
@@ -4,10 +4,13 @@
 import collections
 
 import fleet_cluster
+import fleet_fakes
+import polling
 import pytest
 import steward_cluster
 
-from flamingotiller import errors
+from flamingotiller import clock, errors
+from flamingotiller.fleet import relaying
 
 # After the cut and this long, callers of such gateways are served at least so often compared with
 # callers of the others.
@@ -18,6 +21,7 @@
 @pytest.fixture(autouse=True)
 def short_timeouts(monkeypatch):
     steward_cluster.shorten_timeouts(monkeypatch)
+    monkeypatch.setattr(relaying, "LIST_LIFETIME", clock.seconds(0.2))
 
 
 def strand(node, how, monkeypatch):
@@ -78,6 +82,7 @@
 
     async def scenario():
         async with fleet_cluster.Fleet(tmp_path) as fleet:
+            await wait_for_relays(fleet)
             await serve_all(fleet, fleet.gateways, 0.3)
             cut = [fleet.gateways[number] for number in stranded]
             others = [node for node in fleet.gateways if node not in cut]
@@ -85,8 +90,146 @@
                 strand(node, how, monkeypatch)
             await serve_all(fleet, fleet.gateways, CONTACT_S)
             statuses = await serve_all(fleet, fleet.gateways, 1.5)
+            assert served_share(statuses, others) >= MIN_SHARE
             assert served_share(statuses, cut) >= MIN_SHARE * served_share(statuses, others)
 
     asyncio.run(scenario())
 
 
+def test_relayed_request_that_is_not_idempotent_runs_once(tmp_path, monkeypatch):
+    """A relay that sends a request on twice would run it twice."""
+
+    async def scenario():
+        routes = [fleet_fakes.make_route(idempotent=False)]
+        async with fleet_cluster.Fleet(tmp_path, routes=routes) as fleet:
+            await wait_for_relays(fleet)
+            node = fleet.gateways[0]
+            await lose_paths(node, "refuse", monkeypatch)
+            paths = [f"/a/once-{number}" for number in range(30)]
+            sent = [fleet.send(node, path, path, method="POST", body=b"b") for path in paths]
+            relay = fleet.gateways[1]
+            fleet.work_s = 0.3
+            responses = [fleet.spawn(work) for work in sent]
+            await polling.wait_until(lambda: len(fleet.runs) >= 5)
+            await relay.abort()
+            statuses = [response and response.status for response in await gather(responses)]
+            assert set(statuses) <= {200, 502, 503, 504, None}
+            runs = collections.Counter(path for _, path in fleet.runs)
+            assert max(runs.values()) == 1
+            for path, status in zip(paths, statuses, strict=True):
+                assert status != 503 or not runs[path]
+
+    asyncio.run(scenario())
+
+
+def test_request_bound_to_a_region_is_relayed_within_it_only(tmp_path, monkeypatch):
+    """Its body must not leave the region, whatever else could serve it."""
+
+    async def scenario():
+        routes = [fleet_fakes.make_route(regions=frozenset({"thrace"}))]
+        async with fleet_cluster.Fleet(tmp_path, routes=routes) as fleet:
+            await wait_for_relays(fleet)
+            stranded = [fleet.gateways[number] for number in (0, 1, 3)]
+            await lose_paths(stranded[0], "refuse", monkeypatch)
+            assert (await fleet.send(stranded[0], "/a/home", "near")).status == 200
+            for node in stranded[1:]:
+                await lose_paths(node, "refuse", monkeypatch)
+            response = await fleet.send(stranded[0], "/a/home", "far")
+            assert response.status == 503
+            assert float(response.headers["retry-after"]) > 0
+
+    asyncio.run(scenario())
+
+
+def test_requests_are_refused_at_once_when_no_gateway_has_a_path(tmp_path, monkeypatch):
+    """Gateways that relayed to each other in a circle would hold them until their deadlines."""
+
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path) as fleet:
+            await wait_for_relays(fleet)
+            for node in fleet.gateways:
+                await lose_paths(node, "refuse", monkeypatch)
+            runs = len(fleet.runs)
+            for node in fleet.gateways:
+                response = await fleet.send(node, "/a/x", "id")
+                assert (response.status, b"no-path" in response.body) == (503, True)
+                assert float(response.headers["retry-after"]) > 0
+            assert len(fleet.runs) == runs
+
+    asyncio.run(scenario())
+
+
+def test_gateway_serves_by_itself_again_when_its_paths_are_back(tmp_path, monkeypatch):
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path) as fleet:
+            await wait_for_relays(fleet)
+            node = fleet.gateways[0]
+            with monkeypatch.context() as cut:
+                await lose_paths(node, "refuse", cut)
+                leader = fleet.stewards.leaders()[0]
+                await polling.wait_until(lambda: node.listening[1] not in ports(leader))
+            await polling.wait_until(lambda: not node._paths.lost)
+            await polling.wait_until(lambda: node.listening[1] in ports(leader))
+            relayed = node._endpoint_traffic_by_distance["relay"].written
+            statuses = await serve_all(fleet, [node], 0.3)
+            assert served_share(statuses, [node]) == 1.0
+            assert node._endpoint_traffic_by_distance["relay"].written == relayed
+
+    asyncio.run(scenario())
+
+
+def test_gateway_without_paths_and_without_stewards_goes_on_relaying(tmp_path, monkeypatch):
+    """It has to know other gateways before it needs them: then nobody may be there to ask."""
+
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path) as fleet:
+            await wait_for_relays(fleet)
+            node = fleet.gateways[0]
+
+            async def call(peer, *arguments, **options):
+                raise errors.ConnectError("cut off", peer=peer)
+
+            monkeypatch.setattr(node._peer_client, "call", call)
+            await lose_paths(node, "refuse", monkeypatch)
+            statuses = await serve_all(fleet, [node], 0.5)
+            assert served_share(statuses, [node]) >= MIN_SHARE
+
+    asyncio.run(scenario())
+
+
+def test_one_reachable_endpoint_is_a_path(tmp_path, monkeypatch):
+    """Endpoints that end are no reason to relay requests: the others would see the same."""
+
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path, 2, endpoint_count=3) as fleet:
+            node = fleet.gateways[0]
+            for endpoint in fleet.endpoints[:2]:
+                endpoint.end()
+            for number in range(10):
+                await fleet.send(node, f"/a/x{number}", f"id-{number}")
+            await asyncio.sleep(0.1)
+            await node._paths._check()
+            assert not node._paths.lost
+
+    asyncio.run(scenario())
+
+
+def ports(leader):
+    return {int(address.rpartition(":")[2]) for address in leader.locate("thrace", "t1")}
+
+
+async def wait_for_relays(fleet):
+    """Waits until all gateways know each other."""
+    for node in fleet.gateways:
+        await polling.wait_until(lambda node=node: node._relays.count == len(fleet.gateways) - 1)
+
+
+async def gather(tasks):
+    return [await task for task in tasks]
+
+
+async def lose_paths(node, how, monkeypatch):
+    """Cuts a gateway from all endpoints and waits until it has noticed."""
+    strand(node, how, monkeypatch)
+    node._paths.on_connect_failed()
+    await polling.wait_until(lambda: node._paths.lost)
