Refuse reports of endpoints with impossible addresses and numbers

Callers lost their connections without an answer where an endpoint's report had named a port out of range: the connection attempt raised an error that nothing handled. Reports also passed with sequence numbers that no later report can exceed, with 2^40 slots, which draw all objects to one endpoint, and with cold periods that no clock can hold.

Reports are now checked for all of these at the border, and an address that cannot be connected to counts as one that refuses.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -116,7 +116,7 @@
                 _, connection = await loop.create_connection(
                     lambda: wire.Connection(h11.CLIENT), host, int(port)
                 )
-        except (OSError, ValueError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError, TimeoutError) as error:
             self._decrement_count(peer)
             raise errors.ConnectError(f"cannot connect: {error!r}", peer=peer) from error
         except asyncio.CancelledError:
--- a/flamingotiller/platform/messages.py
+++ b/flamingotiller/platform/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 import re
 import typing
 
@@ -17,7 +18,13 @@
 # A download is an idempotent request with a long response.
 _IDEMPOTENT_TYPES = ("idempotent", "download")
 _VERSION = re.compile(r"^r?(\d{1,18})$")
-_ADDRESS = re.compile(r"^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$")
+_ADDRESS = re.compile(r"^([0-9.]{7,15}):([0-9]{1,5})$")
+MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
+# Largest integer that all JSON parsers keep exactly, and the largest rate or weight.
+MAX_INTEGER = 2**53 - 1
+MAX_NUMBER = 1e12
+MAX_COLD_S = 86_400.0
 
 
 def _parse_duration_s(value: object) -> float:
@@ -34,11 +41,22 @@
     return int(match[1])
 
 
+def _check_address(value: object) -> str:
+    match = _ADDRESS.match(value) if isinstance(value, str) else None
+    if match is None or not 0 < int(match[2]) <= MAX_PORT:
+        raise ValueError("expected an address such as 10.0.0.1:8080")
+    return f"{ipaddress.IPv4Address(match[1])}:{int(match[2])}"
+
+
 DurationSeconds = typing.Annotated[float, pydantic.BeforeValidator(_parse_duration_s)]
 ConfigVersion = typing.Annotated[int, pydantic.BeforeValidator(_parse_version)]
 NonEmptyText = typing.Annotated[str, pydantic.StringConstraints(strict=True, min_length=1)]
-StrictInteger = typing.Annotated[int, pydantic.Field(strict=True)]
-NonNegativeNumber = typing.Annotated[float, pydantic.Field(strict=True, ge=0, allow_inf_nan=False)]
+Address = typing.Annotated[str, pydantic.BeforeValidator(_check_address)]
+StrictInteger = typing.Annotated[int, pydantic.Field(strict=True, le=MAX_INTEGER)]
+NonNegativeInteger = typing.Annotated[int, pydantic.Field(strict=True, ge=0, le=MAX_INTEGER)]
+NonNegativeNumber = typing.Annotated[
+    float, pydantic.Field(strict=True, ge=0, le=MAX_NUMBER, allow_inf_nan=False)
+]
 
 
 class _Message(pydantic.BaseModel):
@@ -212,24 +230,24 @@
 
     service: NonEmptyText
     zone: NonEmptyText
-    slots: StrictInteger = pydantic.Field(gt=0)
+    slots: int = pydantic.Field(strict=True, gt=0, le=MAX_SLOTS)
 
 
 class StatusMessage(_Message):
     """Properties of an endpoint that change during its lifetime."""
 
     state: typing.Literal["ready", "draining"]
-    sequence: StrictInteger
+    sequence: NonNegativeInteger
     cold_remaining: DurationSeconds = pydantic.Field(
-        default="0ms", alias="coldRemaining", validate_default=True
+        default="0ms", alias="coldRemaining", validate_default=True, le=MAX_COLD_S
     )
 
 
 class HeartbeatMessage(_Message):
     """An endpoint's report; ``born`` is the start of its lifetime in Unix milliseconds."""
 
-    address: NonEmptyText = pydantic.Field(pattern=_ADDRESS.pattern)
-    born: StrictInteger = 0
+    address: Address
+    born: NonNegativeInteger = 0
     info: InfoMessage
     status: StatusMessage
 
@@ -251,7 +269,7 @@
 class LeaveMessage(_Message):
     """An endpoint's departure; ``born`` is the start of the lifetime that ends, if sent."""
 
-    born: StrictInteger | None = None
+    born: NonNegativeInteger | None = None
 
 
 def decode(body: bytes, message_type: type[_Message], step: str) -> typing.Any:
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -619,3 +619,22 @@
             assert harness.run_count == 1
 
     run(work())
+
+
+def test_endpoint_with_an_impossible_address_ends_no_request_and_no_task():
+    """An address that cannot be connected to raised an error that nothing handled."""
+
+    async def work():
+        async with GatewayHarness(FakeEndpoint("e1"), FakeEndpoint("e2", "b1")) as harness:
+            sound = harness.endpoints[1].record()
+            odd = harness.endpoints[0].record(address="127.0.0.1:99999")
+            await harness.publish_and_wait(records=[odd, sound])
+            for number in range(8):
+                response = await harness.send(make_request(id_=f"id-{number}"))
+                assert response is not None and response.status in (200, 503)
+            await harness.publish_and_wait(records=[odd])
+            assert (await harness.send()).status == 503
+            await harness.gateway._paths._check()
+            assert harness.gateway._paths.lost
+
+    run(work())
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -146,9 +146,25 @@
     yield b"\xff\xfe not text"
     yield b"[]"
     yield b"null"
+    yield b"[" * 100_000 + b"]" * 100_000
+    deep = orjson.dumps(HEARTBEAT)[:-1] + b', "more": ' + b'{"a":' * 2000 + b"1" + b"}" * 2001
+    yield deep
+    yield orjson.dumps(HEARTBEAT).replace(b'"sequence":4', b'"sequence":1e400')
+    yield orjson.dumps(HEARTBEAT).replace(b'"sequence":4', b'"sequence":' + b"9" * 400)
     for path, value in [
         (("address",), "10.0.0.1"),
         (("address",), 7),
+        (("address",), "10.128.0.9:0"),
+        (("address",), "10.128.0.9:65536"),
+        (("address",), "10.128.0.9:99999"),
+        (("address",), "10.128.0.300:8080"),
+        (("born",), 2**63),
+        (("born",), -1),
+        (("info", "slots"), 2**40),
+        (("status", "sequence"), 2**63),
+        (("status", "sequence"), -1),
+        (("status", "coldRemaining"), "86400000000000s"),
+        (("status", "coldRemaining"), "99999999999999999999s"),
         (("born",), "soon"),
         (("born",), 1.5),
         (("info",), KeyError),
