Take a repeated refusal for what it is: no answer to the next request

Callers could be told 'not run, try again' for a request that an endpoint had run: a faulty endpoint writes an earlier refusal once more on a kept connection, and a refusal without the request's id was believed there, as was one of a request whose caller used the same id twice. An entry instance believed a refusal before it compared the id at all.

Now the id is compared first. A refusal without one counts only on a connection that has not been used before, and a request is not sent on the connection on which one with its id was refused.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -239,11 +239,15 @@
             errors.TransportError: The exchange failed; ``state`` says whether the request may
                 have run.
         """
-        connection, _ = await self.pool.acquire(self.address)
+        connection, reused = await self.pool.acquire(self.address)
+        while reused and connection.refused_id == self.prepared.request_id:
+            # A refusal that comes once more could not be told from the answer to this request.
+            self.pool.discard(self.address, connection)
+            connection, reused = await self.pool.acquire(self.address)
         try:
             self.state.begin_attempt()
             await self._send(connection)
-            head = await self._read_head(connection)
+            head = await self._read_head(connection, reused)
             outcome = await self._forward_response(connection, head, reply)
         except BaseException:
             self._count_bytes(connection)
@@ -269,29 +273,44 @@
             await connection.send(h11.Data(data=chunk))
         await connection.send(h11.EndOfMessage())
 
-    async def _read_head(self, connection: wire.Connection) -> h11.Response:
+    async def _read_head(self, connection: wire.Connection, reused: bool) -> h11.Response:
         event = await connection.next_event(self._remaining())
         while isinstance(event, h11.InformationalResponse):
             event = await connection.next_event(self._remaining())
         if not isinstance(event, h11.Response):
             raise errors.ConnectionLostError("no response", step="read head", peer=self.address)
+        self._check_id(event)
         if event.status_code == 503 and wire.header(event.headers, NOT_RUN_HEADER) is not None:
+            if reused and wire.header(event.headers, REQUEST_ID_HEADER) is None:
+                # It may be the refusal of an earlier request, sent once more.
+                raise errors.ProtocolError(
+                    "refusal without a request's id on a reused connection",
+                    step="read head",
+                    peer=self.address,
+                )
             self.state.mark_not_run()
             raise ShedError("endpoint shed the request", step="forward", peer=self.address)
-        self._check_response_head(event)
+        self._check_length(event)
         return event
 
-    def _check_response_head(self, head: h11.Response) -> None:
-        """Checks that a response belongs to this request and that its end can be recognised.
+    def _check_id(self, head: h11.Response) -> None:
+        """Checks that a response belongs to this request, if it names one.
 
         Raises:
-            errors.ProtocolError: It does not, or it cannot.
+            errors.ProtocolError: It belongs to another request.
         """
         response_id = wire.header(head.headers, REQUEST_ID_HEADER)
         if response_id is not None and response_id != self.prepared.request_id:
             raise errors.ProtocolError(
                 "response carries the id of another request", step="read head", peer=self.address
             )
+
+    def _check_length(self, head: h11.Response) -> None:
+        """Checks that the end of a response can be recognised.
+
+        Raises:
+            errors.ProtocolError: It cannot.
+        """
         has_length = any(
             name in (b"content-length", b"transfer-encoding") for name, _ in head.headers
         )
--- a/flamingotiller/endpoint_emulator.py
+++ b/flamingotiller/endpoint_emulator.py
@@ -156,7 +156,11 @@
         if self.busy >= self.profile.slots:
             await request.read()
             self.shed_count += 1
-            await reply.json(503, {"error": "busy"}, [(dispatch.NOT_RUN_HEADER, b"1")])
+            headers = [(dispatch.NOT_RUN_HEADER, b"1")]
+            request_id = request.header(dispatch.REQUEST_ID_HEADER.decode())
+            if request_id is not None:
+                headers.append((dispatch.REQUEST_ID_HEADER, request_id.encode()))
+            await reply.json(503, {"error": "busy"}, headers)
             return
         self.busy += 1
         self.peak = max(self.peak, self.busy)
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -154,6 +154,7 @@
         self._dispatch_state = dispatch_state
         self._address = address
         self._send_by = send_by
+        self._reused = False
         self.traffic = wire.Traffic()
 
     def _remaining(self, grace: datetime.timedelta = clock.ZERO) -> datetime.timedelta:
@@ -179,7 +180,7 @@
                 may have run.
         """
         address = self._address
-        link, _ = await self._pool.acquire(address)
+        link = await self._acquire()
         not_run: dispatch.ShedError | None = None
         try:
             self._check_grant()
@@ -187,6 +188,8 @@
             await self._send(link)
             head = await self._read_head(link)
             not_run = self._not_run_error(head)
+            if not_run:
+                link.refused_id = self._job.request_id
             response = await self._read_body(link, head, reply)
         except errors.TransportError as error:
             self._count_traffic(link)
@@ -203,6 +206,14 @@
             raise not_run
         return response
 
+    async def _acquire(self) -> wire.Connection:
+        link, self._reused = await self._pool.acquire(self._address)
+        while self._reused and link.refused_id == self._job.request_id:
+            # A refusal that comes once more could not be told from the answer to this request.
+            self._pool.discard(self._address, link)
+            link, self._reused = await self._pool.acquire(self._address)
+        return link
+
     def _check_grant(self) -> None:
         if self._send_by is not None and self._clock.monotonic() > self._send_by:
             raise GrantExpiredError(
@@ -280,6 +291,11 @@
     def _protocol_error(self, message: str) -> errors.ProtocolError:
         return errors.ProtocolError(message, step="read head", peer=self._address)
 
+    def _check_refusal_is_new(self, head: h11.Response) -> None:
+        """Checks that a refusal is not an earlier one, sent once more on a reused connection."""
+        if self._reused and wire.header(head.headers, self._dialect.request_id) is None:
+            raise self._protocol_error("refusal without a request's id on a reused connection")
+
     def _not_run_error(self, head: h11.Response) -> dispatch.ShedError | None:
         """Returns the error of a response that says that the request did not run, and records it;
         None for any other response."""
@@ -413,6 +429,7 @@
         misdirected = head.status_code == 421
         if not misdirected and wire.header(head.headers, self._dialect.not_run) is None:
             return None
+        self._check_refusal_is_new(head)
         self._dispatch_state.mark_not_run()
         error_type = MisdirectedError if misdirected else dispatch.ShedError
         return error_type(
--- a/flamingotiller/fleet/relaying.py
+++ b/flamingotiller/fleet/relaying.py
@@ -133,6 +133,7 @@
     def _not_run_error(self, head: h11.Response) -> dispatch.ShedError | None:
         if head.status_code not in NOT_RUN_STATUSES:
             return None
+        self._check_refusal_is_new(head)
         self._dispatch_state.mark_not_run()
         if wire.header(head.headers, NO_PATH_HEADER) is None:
             # A refusal of the other gateway's own, which the caller gets.
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -61,6 +61,8 @@
             before any data.
         idle: Whether the connection waits in a pool. Data that arrives then belongs to no request
             and closes it.
+        refused_id: Id of the last request that the peer refused on this connection, empty if none.
+            The peer may send the refusal once more.
         idle_until: Time until which the connection may be reused while idle, in seconds of the
             event loop's clock.
     """
@@ -80,6 +82,7 @@
         self.last_data_at = 0.0
         self.idle = False
         self.idle_until = math.inf
+        self.refused_id = ""
         self.bytes_written = 0
         self.bytes_read = 0
         self._on_open = on_open
--- a/tests/test_fleet_forwarding.py
+++ b/tests/test_fleet_forwarding.py
@@ -444,3 +444,78 @@
                 await asyncio.sleep(0.08)
 
     run(work())
+
+
+def repeats_refusal(with_id):
+    """Refuses the first request, and writes that refusal in place of each further answer on the
+    same connection; requests on other connections are answered."""
+    refusal, refused_on = b"", None
+
+    async def script(request, writer):
+        nonlocal refusal, refused_on
+        if refused_on is None:
+            refused_on = writer
+            refusal = head(request, "X-Not-Executed: 1", "Content-Length: 0", status=503)
+            if not with_id:
+                named = f"X-Request-Id: {request.headers['x-request-id']}\r\n"
+                refusal = refusal.replace(named.encode(), b"")
+        if writer is refused_on:
+            await write_all(writer, refusal)
+        else:
+            await write_all(writer, fleet_fakes.make_response(request))
+        return True
+
+    return script
+
+
+@pytest.mark.parametrize("with_id", [True, False])
+@pytest.mark.parametrize("same_id", [True, False])
+def test_repeated_refusal_never_says_that_the_next_request_did_not_run(with_id, same_id):
+    """Callers were told to try again while the endpoint ran their request, or it ran twice."""
+
+    async def work():
+        endpoint = ScriptedEndpoint(repeats_refusal(with_id))
+        other = fleet_fakes.FakeEndpoint("e2", "b1")
+        routes = [make_route(idempotent=False)]
+        async with GatewayHarness(endpoint, other, routes=routes) as harness:
+            for number in range(20):
+                id_ = "same" if same_id else f"id-{number}"
+                refused_count = len(endpoint.requests)
+                other_count = len(other.requests)
+                response = await harness.send(make_request(id_=id_, method="POST", body=b"b"))
+                if refused_count and len(endpoint.requests) > refused_count:
+                    break
+            # The endpoint got a second request, and ran it.
+            assert len(endpoint.requests) == 2
+            assert response.status in (200, 502)
+            assert len(other.requests) == other_count
+
+    run(work())
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_response_that_stops_within_its_head_is_no_response(reset):
+    """Callers got an empty success, framed as a whole one."""
+
+    async def work():
+        whole = b""
+        cut = 0
+
+        async def script(request, writer):
+            nonlocal whole
+            whole = head(request, "Content-Length: 5")
+            await write_all(writer, whole[:cut])
+            if reset:
+                writer.transport.abort()
+            return False
+
+        endpoint = ScriptedEndpoint(script)
+        routes = [make_route(idempotent=False)]
+        async with GatewayHarness(endpoint, routes=routes) as harness:
+            await harness.send(make_request(method="POST", body=b"b"))
+            for cut in range(1, len(whole)):
+                harness.gateway._chooser.forget_failures()
+                response = await harness.send(make_request(method="POST", body=b"b"))
+                assert response.status == 502, (cut, response)
+
+    run(work())
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -143,7 +143,16 @@
         b"HTTP/1.1 503 Busy\r\nflamingotiller-not-run: 1\r\ncontent-length: 0\r\n\r\n",
         "keep", 503, "not-run",
     ),
+    "refusal of another request": (
+        b"HTTP/1.1 503 Busy\r\nflamingotiller-not-run: 1\r\nflamingotiller-request-id: other\r\n"
+        b"content-length: 0\r\n\r\n",
+        "keep", 502, "unknown",
+    ),
     "internal error": (b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n", "keep", 500, None),
+    "refusal without an id on a connection in use": (
+        b"HTTP/1.1 503 Busy\r\nflamingotiller-not-run: 1\r\ncontent-length: 0\r\n\r\n",
+        "keep", 502, "unknown",
+    ),
     "echoes the id": (
         http_response(headers=b"flamingotiller-request-id: {id}\r\n"), "keep", 200, None,
     ),
