Sample several endpoints of a zone before the paths count as lost

Where all endpoints lie in one zone, a gateway tried one of them: if just that one had ended, it took its paths for lost, relayed, and the others did the same, so callers got 'no-path' beside idle endpoints.

Up to twelve endpoints are tried now, one of each zone first. The test (eleven of twelve endpoints of the only zone ended) failed before and passes.

--- a/flamingotiller/fleet/reachability.py
+++ b/flamingotiller/fleet/reachability.py
@@ -11,8 +11,9 @@
 from flamingotiller import client, clock, errors
 from flamingotiller.fleet import model
 
-# Endpoints, in as many zones, that are tried to find out whether any can be reached.
-MAX_SAMPLE = 9
+# Endpoints that are tried to find out whether any can be reached. Some may have ended, so there are
+# several of a zone where there are few zones.
+MAX_SAMPLE = 12
 # How long the first endpoint of a sample may take before the others are tried as well.
 FIRST_PROBE_TIMEOUT = clock.seconds(0.1)
 # Without a response for so many times the usual time between two, within the bounds, the paths are
@@ -60,7 +61,7 @@
         return False
 
     async def reaches_any(self, endpoints: collections.abc.Iterable[model.Endpoint]) -> bool:
-        """Returns whether any of a sample of endpoints, one in each zone, accepts a connection."""
+        """Returns whether any of a sample of endpoints, in all zones, accepts a connection."""
         sample = self._sample(endpoints)
         attempts = [asyncio.ensure_future(self._accepts(e)) for e in sample[:1]]
         try:
@@ -90,7 +91,9 @@
         shuffled = sorted(endpoints, key=lambda endpoint: endpoint.id)
         self._rng.shuffle(shuffled)
         one_by_zone = {endpoint.zone: endpoint for endpoint in shuffled}
-        return list(one_by_zone.values())[:MAX_SAMPLE]
+        first = list(one_by_zone.values())
+        taken = {endpoint.id for endpoint in first}
+        return [*first, *(e for e in shuffled if e.id not in taken)][:MAX_SAMPLE]
 
 
 class PathMonitor:
--- a/tests/fleet_cluster.py
+++ b/tests/fleet_cluster.py
@@ -26,7 +26,7 @@
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.number = number
-        self.zone = ZONES[number % len(ZONES)]
+        self.zone = fleet.zones[number % len(fleet.zones)]
         self.port = 0
         self.ends = 0
         self.running = 0
@@ -90,7 +90,8 @@
     work_s = 0.03
     restart_s = 0.6
 
-    def __init__(self, folder, gateway_count=4, endpoint_count=12, routes=None):
+    def __init__(self, folder, gateway_count=4, endpoint_count=12, routes=None, zones=ZONES):
+        self.zones = zones
         self.stewards = steward_cluster.StewardCluster(folder, region_by_zone=REGION_BY_ZONE)
         self.gateways = []
         self.endpoints = [CrashableEndpoint(self, n) for n in range(endpoint_count)]
--- a/tests/test_fleet_stranded.py
+++ b/tests/test_fleet_stranded.py
@@ -263,6 +263,20 @@
     asyncio.run(scenario())
 
 
+def test_ends_of_most_endpoints_of_the_only_zone_are_no_loss_of_paths(tmp_path):
+    """One endpoint of each zone was tried: the only one was taken for all paths."""
+
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path, 1, zones=["t1"]) as fleet:
+            node = fleet.gateways[0]
+            for endpoint in fleet.endpoints[1:]:
+                endpoint.end()
+            for _ in range(20):
+                assert not await node._paths.verify()
+
+    asyncio.run(scenario())
+
+
 def ports(leader):
     return {int(address.rpartition(":")[2]) for address in leader.locate("thrace", "t1")}
 
