Keep all endpoints that may serve in an object's order; name what kept a request from them

Callers were refused with 'full' or 'not-run' beside idle endpoints of their region: an object that prefers its region had one endpoint there, then remote ones, and the other local ones were left out. Where no remote endpoint may serve, or all are cut off, it had no second choice.

The other local endpoints now come last in the order. A repeat of an attempt whose connection could not be opened is not paid from the retry budget, since it has put no load on an endpoint. Each obstacle has its own code: 'full' stood for all of them.

Tests: four of placement failed before (no remote endpoint, bound to the region, remote ones avoided, whole order), one of 40 requests beside a dead endpoint, and one of codes; all pass, and so do those of requests that end endpoints and of limits that endpoints name, run again on the result.

--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -77,6 +77,15 @@
 # Other gateways that one request is relayed to, if the ones before did not take it.
 MAX_RELAY_ATTEMPTS = 3
 NO_PATH_RETRY_AFTER_S = 0.5
+# Codes of refusals of requests for which no endpoint was tried.
+CODE_BY_OBSTACLE = {
+    chooser.Obstacle.NO_ENDPOINT: "no-endpoint",
+    chooser.Obstacle.AVOIDED: "avoided",
+    chooser.Obstacle.FULL: "full",
+    chooser.Obstacle.COLD: "cold",
+    chooser.Obstacle.SPILL_LIMIT: "region-limit",
+    chooser.Obstacle.ENDPOINT_LIMIT: "endpoint-limit",
+}
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
 # the margin, in which the process ends.
@@ -775,7 +784,7 @@
                     limited.clear()
                     continue
                 trace.obstacle = choice.obstacle
-                raise self._no_endpoint(job, dispatch_state, failure)
+                raise self._no_endpoint(job, dispatch_state, failure, choice.obstacle)
             send_by = job.send_by
             if self._endpoint_limits.rate(endpoint) is not None:
                 revision = self.revision
@@ -803,14 +812,15 @@
             else:
                 if not _is_server_error(response):
                     return response
-                error_response = response
+                error_response, failure = response, None
             may_run_twice = job.route.idempotent and not self._may_end_endpoints(job)
             may_retry = (
                 len(excluded) < job.route.max_attempts
                 and job.body_ended
                 and dispatch_state.may_retry(may_run_twice)
                 and self.clock.monotonic() < job.deadline
-                and budget.take()
+                # An attempt without a connection has put no load on any endpoint.
+                and (isinstance(failure, errors.ConnectError) or budget.take())
             )
             if may_retry:
                 if self._paths.lost:
@@ -911,17 +921,26 @@
         job: forwarding.Job,
         dispatch_state: dispatch.DispatchState,
         failure: errors.FlamingotillerError | None,
+        obstacle: chooser.Obstacle | None = None,
     ) -> errors.RefusedError:
         """Returns the refusal of a job that no endpoint served.
 
         The status tells whether the job may have run: 502 or 504 if so, else 503.
+
+        Args:
+            job: The job.
+            dispatch_state: What is known of its attempts.
+            failure: Error of the last attempt, None if there was none.
+            obstacle: Why there was no further attempt, None if it was not allowed.
         """
         if dispatch_state.outcome is dispatch.Outcome.UNKNOWN:
             timed_out = isinstance(failure, errors.ExchangeTimeoutError)
             return _refused(
                 504 if timed_out else 502, "timeout" if timed_out else "endpoint-failed", failure
             )
-        code = "full" if failure is None else "not-run"
+        code = "not-run"
+        if failure is None and obstacle is not None:
+            code = CODE_BY_OBSTACLE[obstacle]
         retry_after_s = self._return_times.after_s(
             job.service, job.route.objective_s, shed=isinstance(failure, dispatch.ShedError)
         )
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -206,6 +206,7 @@
 
         An object's callers are in one region. So as many objects as the local region has slots for
         prefer a local endpoint first and a remote one second; the others prefer remote endpoints.
+        The remaining local endpoints come last, for when those before them cannot be used.
         Endpoints with more slots are preferred by more objects. All gateways of a region compute
         the same order.
 
@@ -223,7 +224,8 @@
             local = [e for e in order if self.is_local(e)]
             remote = [e for e in order if not self.is_local(e)]
             prefers_local = shares.unit_hash("region", object_id) < self._local_share(candidates)
-            order = [*local[:MAX_LOCAL_PREFERRED], *remote] if prefers_local else [*remote, *local]
+            first, rest = local[:MAX_LOCAL_PREFERRED], local[MAX_LOCAL_PREFERRED:]
+            order = [*first, *remote, *rest] if prefers_local else [*remote, *local]
             self._order_by_key[key] = order
             if len(self._order_by_key) > MAX_CACHED_ORDERS:
                 self._order_by_key.popitem(last=False)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from flamingotiller import errors, events, kernel, metrics, settings
+from flamingotiller.fleet import gateway
 
 ROOT = pathlib.Path(__file__).parent.parent
 DOCS = ROOT / "docs"
@@ -190,6 +191,7 @@
     codes = set(re.findall(r'_refused\(\s*[^,"]+,\s*"([a-z-]+)"', source))
     codes |= set(re.findall(r'"([a-z-]+)" (?:if|else)', source))
     codes |= set(re.findall(r'_unknown\("([a-z-]+)"', source))
+    codes |= set(gateway.CODE_BY_OBSTACLE.values())
     assert len(codes) >= 6
     for code in codes:
         assert f"`{code}`" in text, code
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -637,3 +637,45 @@
             assert await harness.gateway._paths.verify()
 
     run(work())
+
+
+def test_no_request_is_refused_beside_idle_endpoints_of_its_region():
+    """A dead endpoint cost a third of the objects their service while two others were idle."""
+
+    async def work():
+        endpoints = [FakeEndpoint(f"e{number}", slots=40) for number in range(3)]
+        async with GatewayHarness(*endpoints) as harness:
+            dead = endpoints[0].record(address="127.0.0.1:1")
+            records = [dead, *(endpoint.record() for endpoint in endpoints[1:])]
+            await harness.publish_and_wait(records=records)
+            # Retries that the operator's bound allows: none has been earned yet.
+            harness.gateway._budget_by_service.clear()
+            for number in range(40):
+                request = make_request(id_=f"id-{number}", Cookie=f"X-Affinity-Key={number}")
+                assert (await harness.send(request)).status == 200
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    ("handler", "code"), [(reset, "avoided"), (None, "no-endpoint"), (never, "full")]
+)
+def test_refusal_names_what_kept_the_request_from_its_endpoints(handler, code):
+    async def work():
+        endpoint = FakeEndpoint(slots=1, handler=handler)
+        async with GatewayHarness(endpoint, routes=[make_route(max_attempts=1)]) as harness:
+            if handler is None:
+                await harness.publish_and_wait(records=[endpoint.record(draining=True)])
+            elif handler is never:
+                for number in range(2):
+                    _, writer = await harness.connect()
+                    writer.write(make_request(id_=f"held-{number}"))
+                await harness.wait_until(lambda: len(endpoint.requests) == 2)
+            else:
+                assert (await harness.send()).status == 502
+            response = await harness.send()
+            assert response.status == 503
+            assert f'"error":"{code}"'.encode() in response.body
+            assert float(response.headers["retry-after"]) > 0
+
+    run(work())
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -69,6 +69,44 @@
         assert "thrace" not in regions_of(preferred("thrace", str(number), fleet, **state))
 
 
+LOCAL_FLEET = [endpoint(i, zone) for i, zone in enumerate(["t1", "t1", "t2"])]
+
+
+def failed(endpoints):
+    """Returns the health of endpoints that are avoided after failures."""
+    health = {e.id: placement.EndpointHealth() for e in endpoints}
+    for each in health.values():
+        each.on_failure(NOW)
+    return health
+
+
+@pytest.mark.parametrize(
+    ("fleet", "regions"),
+    [
+        (LOCAL_FLEET, frozenset()),
+        (FLEET, frozenset({"thrace"})),
+        (FLEET, frozenset()),
+    ],
+    ids=["no remote endpoint", "bound to its region", "remote endpoints avoided"],
+)
+def test_other_local_endpoints_serve_when_the_preferred_one_is_gone(fleet, regions):
+    """They were left out of an object's order, and its requests refused beside idle endpoints."""
+    remote = [e for e in fleet if REGION_BY_ZONE[e.zone] != "thrace"]
+    for number in range(40):
+        first = preferred("thrace", str(number), fleet, failed(remote), regions)[0]
+        found = preferred("thrace", str(number), fleet, failed([*remote, first]), regions)
+        assert found and first not in found
+        assert set(regions_of(found)) == {"thrace"}
+        assert len(found) <= placement.MAX_PREFERRED
+
+
+def test_every_endpoint_that_may_serve_is_in_an_objects_order():
+    for number in range(40):
+        chooser = placement.Placement("thrace", REGION_BY_ZONE)
+        order = chooser.order(view(*FLEET), "search", str(number), frozenset())
+        assert sorted(e.id for e in order) == sorted(e.id for e in FLEET)
+
+
 def test_only_allowed_regions_serve():
     for number in range(30):
         found = preferred("thrace", str(number), regions=frozenset({"danube"}))
