Report many requests at one end of an endpoint in parts

A steward refuses a report of more than 1,024 requests at one end. The gateway would have sent the same report again with each poll, and its other ends would not have been heard of. It now sends what one report takes and the rest with the next. The test is new with the change; the case was found by reading.

--- a/flamingotiller/fleet/crash_reports.py
+++ b/flamingotiller/fleet/crash_reports.py
@@ -17,8 +17,6 @@
     [str, dict[str, typing.Any]], collections.abc.Awaitable[dict[str, typing.Any]]
 ]
 
-# Ends that are kept until a steward takes the report; the oldest is dropped first.
-MAX_UNREPORTED = 64
 # A reported suspect is remembered until the view surely has it.
 TOLD_LIFETIME = clock.seconds(10)
 # How long after it was asked for a trial may begin: a gateway may be paused in between.
@@ -115,7 +113,7 @@
             fingerprints=sorted(fingerprints),
         )
         self._unreported.setdefault(lifetime, set()).update(fingerprints)
-        while len(self._unreported) > MAX_UNREPORTED:
+        while len(self._unreported) > suspects.MAX_REPORTED_ENDS:
             self._unreported.popitem(last=False)
         await self._deliver()
         return True
@@ -126,7 +124,10 @@
             self._spawn(self._deliver())
 
     async def _deliver(self) -> None:
-        sent = {end: sorted(fingerprints) for end, fingerprints in self._unreported.items()}
+        sent = {
+            end: sorted(fingerprints)[: suspects.MAX_REPORTED_REQUESTS]
+            for end, fingerprints in self._unreported.items()
+        }
         if not sent:
             return
         try:
@@ -134,8 +135,10 @@
         except errors.FlamingotillerError:
             return  # logged by the caller of the steward; the next poll's response tries again
         for end, fingerprints in sent.items():
-            if sorted(self._unreported.get(end, ())) == fingerprints:
-                del self._unreported[end]
+            unreported = self._unreported.get(end, set())
+            unreported.difference_update(fingerprints)
+            if not unreported:
+                self._unreported.pop(end, None)
         now = self._clock.monotonic()
         self._told_until = {f: until for f, until in self._told_until.items() if now < until}
         for fingerprint in document["suspects"]:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -67,9 +67,6 @@
 DRAW_TIMEOUT = clock.seconds(0.2)  # several round trips between regions
 # Time for the leader to commit a suspect or a trial; a caller may be waiting for it.
 SUSPECT_TIMEOUT = clock.seconds(0.3)
-# Ends of endpoints in one report, and requests that were in flight at one of them.
-MAX_REPORTED_ENDS = 64
-MAX_REQUESTS_PER_END = 1024
 MAX_FINGERPRINT_LENGTH = 64
 # How long a steward waits for an update's base version before it passes the whole update on.
 BASE_VERSION_TIMEOUT = clock.seconds(0.3)
@@ -679,7 +676,10 @@
             for end, fingerprints in body["ends"].items()
         }
         most = max(map(len, fingerprints_by_end.values()), default=0)
-        if len(fingerprints_by_end) > MAX_REPORTED_ENDS or most > MAX_REQUESTS_PER_END:
+        if (
+            len(fingerprints_by_end) > suspects.MAX_REPORTED_ENDS
+            or most > suspects.MAX_REPORTED_REQUESTS
+        ):
             raise errors.InvalidInputError("report is too long", step="ends")
         return await self._execute("ends", fingerprints_by_end, SUSPECT_TIMEOUT)
 
@@ -696,7 +696,7 @@
             "fingerprint": _fingerprint(body["fingerprint"]),
             "service": str(body["service"]),
             "duration_s": duration_s,
-            "ends": [str(end) for end in body["ends"][:MAX_REPORTED_ENDS]],
+            "ends": [str(end) for end in body["ends"][: suspects.MAX_REPORTED_ENDS]],
         }
         return await self._execute("trial", arguments, SUSPECT_TIMEOUT)
 
--- a/flamingotiller/fleet/suspects.py
+++ b/flamingotiller/fleet/suspects.py
@@ -20,6 +20,9 @@
 MAX_TRIALS = 3
 SUSPICION_LIFETIME = clock.seconds(120)
 QUARANTINE_LIFETIME = clock.seconds(600)
+# Ends of endpoints in one report, and requests that were in flight at one of them.
+MAX_REPORTED_ENDS = 64
+MAX_REPORTED_REQUESTS = 1024
 # Requests whose ends are remembered.
 MAX_REMEMBERED = 4096
 
--- a/tests/test_fleet_crashing.py
+++ b/tests/test_fleet_crashing.py
@@ -219,6 +219,48 @@
     return quarantine.request_fingerprint("", "GET", f"h.example{path}", b"")
 
 
+def test_many_requests_at_one_end_are_reported_in_parts():
+    """A report that a steward refuses for its length would be sent again and again."""
+
+    async def scenario():
+        sent = []
+
+        async def call(path, body):
+            sent.append(body["ends"])
+            return {"suspects": []}
+
+        class EndedProber:
+            async def has_ended(self, endpoint, others):
+                return True
+
+        reports = crash_reports.CrashReports(EndedProber(), call, clock.SystemClock())
+        endpoint = fleet_fakes.FakeEndpoint()
+        endpoint.port = 1
+        fingerprints = {f"f{n}" for n in range(suspects.MAX_REPORTED_REQUESTS + 10)}
+        await gather(
+            [
+                asyncio.ensure_future(reports.on_connection_lost(endpoint.record(), f, []))
+                for f in fingerprints
+            ]
+        )
+        reports.deliver_soon()
+        await polling.wait_until(lambda: len(sent) == 2)
+        assert max(len(named) for ends in sent for named in ends.values()) <= (
+            suspects.MAX_REPORTED_REQUESTS
+        )
+        assert {f for ends in sent for named in ends.values() for f in named} == fingerprints
+        reports.deliver_soon()
+        await asyncio.sleep(0)
+        assert len(sent) == 2
+        await reports.close()
+
+    asyncio.run(scenario())
+
+
+async def gather(tasks):
+    return [await task for task in tasks]
+
+
 def test_ends_are_counted_once_and_expire():
     ledger = suspects.EndLedger()
     ledger.record("e1 1", ["a", "b"], clock.ZERO)
