Relay requests that are bound to regions to gateways of these only

Relays of the gateway's own region took such requests too, on the assumption that the caller is of that region. Look-ups name gateways of other regions when a region has none, and then the body of a bound request would have reached a region that is neither bound nor the caller's.

--- a/flamingotiller/fleet/relaying.py
+++ b/flamingotiller/fleet/relaying.py
@@ -87,8 +87,8 @@
         """Returns the gateway with the fewest of this one's requests, preferably of its region.
 
         Args:
-            regions: Regions that may serve the request, empty for all. Gateways of this region,
-                in which the caller is, may take it in any case.
+            regions: Regions that may serve the request, empty for all. Its body goes to no other,
+                since the caller may not be of this region.
             excluded: Addresses of gateways that were tried before.
             now: Monotonic time.
         """
@@ -97,7 +97,7 @@
             for relay in self._relays
             if relay.address not in excluded
             and self._avoid_until.get(relay.address, clock.ZERO) <= now
-            and (not regions or relay.region in regions or relay.region == self._region)
+            and (not regions or relay.region in regions)
         ]
         return min(usable, key=self._cost, default=None)
 
--- a/tests/test_fleet_stranded.py
+++ b/tests/test_fleet_stranded.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections
+import contextlib
+import random
 
 import fleet_cluster
 import fleet_fakes
@@ -191,6 +193,23 @@
     asyncio.run(scenario())
 
 
+def test_relay_has_the_fewest_requests_and_lies_in_a_bound_region():
+    """A caller may come from a third region: what is bound to others must not stay in this one."""
+    relays = relaying.RelayList("thrace", random.Random(1))
+    relays.update([("near", "thrace"), ("far", "balkan"), ("farther", "danube")], clock.ZERO)
+    assert relays.choose(frozenset({"balkan"}), (), clock.ZERO).address == "far"
+    assert relays.choose(frozenset({"elsewhere"}), (), clock.ZERO) is None
+    near = relays.choose(frozenset(), (), clock.ZERO)
+    assert near.address == "near"
+    with contextlib.ExitStack() as stack:
+        for _ in range(relaying.LOCAL_PREFERENCE + 1):
+            stack.enter_context(relays.in_flight(near))
+        assert relays.choose(frozenset(), (), clock.ZERO).region != "thrace"
+    relays.avoid(near, clock.ZERO)
+    assert relays.choose(frozenset(), (), clock.ZERO).region != "thrace"
+    assert relays.choose(frozenset(), (), relaying.AVOIDANCE).address == "near"
+
+
 def test_requests_are_refused_at_once_when_no_gateway_has_a_path(tmp_path, monkeypatch):
     """Gateways that relayed to each other in a circle would hold them until their deadlines."""
 
