--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -279,7 +279,7 @@
             self.config.zone,
             self.config.region,
             self.ready(),
-            self._paths.lost,
+            not self._paths.lost,
         )
         if self.staleness() > self.config.revocation_bound - REVOCATION_MARGIN:
             # Branches account for a gateway's tokens only while it may use them.
--- a/flamingotiller/fleet/presence.py
+++ b/flamingotiller/fleet/presence.py
@@ -34,7 +34,7 @@
         zone: Its availability zone.
         region: Its region.
         ready: Whether it accepts new callers.
-        stranded: Whether it reaches no endpoint and relays requests to other gateways.
+        has_path: Whether it reaches any endpoint; without one it relays requests to other gateways.
     """
 
     name: str
@@ -42,14 +42,14 @@
     zone: str
     region: str
     ready: bool
-    stranded: bool = False
+    has_path: bool = True
 
     def to_wire(self) -> dict[str, typing.Any]:
-        """Returns the JSON form. Builds that do not know ``stranded`` get it only while it is
-        set."""
+        """Returns the JSON form. Builds that do not know ``has_path`` get it only while it is
+        False."""
         document = dataclasses.asdict(self)
-        if not self.stranded:
-            del document["stranded"]
+        if self.has_path:
+            del document["has_path"]
         return document
 
 
@@ -102,7 +102,7 @@
             name: The gateway that asks.
             region: Its region.
         """
-        others = [g for g in self.present if g.name != name and not g.stranded]
+        others = [g for g in self.present if g.name != name and g.has_path]
         others.sort(key=lambda g: shares.unit_hash(name, g.name))
         near = [g for g in others if g.region == region][: MAX_RELAYS // 2]
         far = [g for g in others if g.region != region][: MAX_RELAYS - len(near)]
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -41,8 +41,8 @@
     presence,
     registry,
     state,
+    suspect_registry,
     suspects,
-    trial_court,
 )
 
 TIMING = replica.Timing(heartbeat=clock.seconds(0.15), election_timeout=clock.seconds(0.7))
@@ -348,7 +348,7 @@
                 self._set_gateway_list(leader_state.presence.gateway_list(now))
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
                 await self._remove_silent_endpoints(leader_state, now)
-                await leader_state.court.expire()
+                await leader_state.suspects.expire()
                 await self._adjust_members(now)
 
     def _get_leader_state(self, now: datetime.timedelta) -> _LeaderState | None:
@@ -370,7 +370,7 @@
                     self._accounts_delay,
                 ),
                 endpoint_limits.GrantIssuer(),
-                trial_court.TrialCourt(
+                suspect_registry.SuspectRegistry(
                     lambda: self.state,
                     lambda command: self.log.propose(command, DECISION_TIMEOUT),
                     self.clock,
@@ -684,7 +684,7 @@
         return await self._execute("ends", fingerprints_by_end, SUSPECT_TIMEOUT)
 
     async def _record_ends(self, arguments: typing.Any) -> typing.Any:
-        return {"suspects": await self._require_leader_state().court.record_ends(arguments)}
+        return {"suspects": await self._require_leader_state().suspects.record_ends(arguments)}
 
     async def _on_trial(self, body: typing.Any) -> typing.Any:
         """Passes a gateway's request for a trial on to the leader, with the ends that it knows."""
@@ -702,15 +702,15 @@
 
     async def _begin_trial(self, arguments: typing.Any) -> typing.Any:
         """Grants a trial, only while this steward holds the leader lease."""
-        court = self._require_leader_state().court
+        suspect_list = self._require_leader_state().suspects
         if not self.log.holds_leader_lease(self.clock.monotonic()):
             raise errors.UnavailableError(
                 "this steward does not hold the leader lease", step="trial"
             )
         fingerprint = arguments["fingerprint"]
-        await court.record_ends({end: [fingerprint] for end in arguments["ends"]})
+        await suspect_list.record_ends({end: [fingerprint] for end in arguments["ends"]})
         duration = clock.seconds(arguments["duration_s"])
-        granted = await court.begin_trial(
+        granted = await suspect_list.begin_trial(
             arguments["trial"], fingerprint, arguments["service"], duration
         )
         return {"granted": granted}
@@ -727,8 +727,8 @@
 
     async def _end_trial(self, arguments: typing.Any) -> typing.Any:
         outcome = suspects.TrialOutcome(arguments["outcome"])
-        court = self._require_leader_state().court
-        await court.end_trial(
+        suspect_list = self._require_leader_state().suspects
+        await suspect_list.end_trial(
             arguments["trial"], arguments["fingerprint"], arguments["service"], outcome
         )
         return {}
@@ -902,7 +902,7 @@
         when none is known. The caller's zone is not used. Gateways that reach no endpoint are named
         only if there are no others."""
         ready = [g for g in self._gateway_list.present if g.ready]
-        gateways = [g for g in ready if not g.stranded] or ready
+        gateways = [g for g in ready if g.has_path] or ready
         in_region = [g for g in gateways if g.region == region]
         return [g.address for g in in_region or gateways]
 
@@ -921,7 +921,7 @@
         registry: When endpoints last reported.
         accounts: Token accounts of organisations.
         grant_issuer: Grants for requests to endpoints that have named a limit.
-        court: Requests that may have ended endpoints, and their trials.
+        suspects: Requests that may have ended endpoints, and their trials.
     """
 
     since: datetime.timedelta
@@ -929,7 +929,7 @@
     registry: registry.Registry
     accounts: accounting.Accounts
     grant_issuer: endpoint_limits.GrantIssuer
-    court: trial_court.TrialCourt
+    suspects: suspect_registry.SuspectRegistry
 
 
 _PEER_ROUTES = {
--- a/flamingotiller/fleet/trial_court.py
+++ b/flamingotiller/fleet/suspect_registry.py
@@ -19,7 +19,7 @@
 MAX_SUSPECTS = 1000
 
 
-class TrialCourt:
+class SuspectRegistry:
     """Suspects and trials for one term of leadership.
 
     The log keeps suspects and the number of their trials. Requests in flight at a single end are
--- a/tests/test_fleet_crashing.py
+++ b/tests/test_fleet_crashing.py
@@ -11,7 +11,7 @@
 import steward_cluster
 
 from flamingotiller import clock, errors, quarantine
-from flamingotiller.fleet import crash_reports, state, suspects, trial_court
+from flamingotiller.fleet import crash_reports, state, suspect_registry, suspects
 
 # After the third end, and this long for all gateways to learn of it, at most so many more sends.
 CONTACT_S = 3.0
@@ -145,13 +145,13 @@
 
     async def scenario():
         async with fleet_cluster.Fleet(tmp_path, 3) as fleet:
-            lonely = fleet.gateways[0]
+            isolated = fleet.gateways[0]
             with monkeypatch.context() as patched:
-                cut_off(lonely, patched)
+                cut_off(isolated, patched)
                 for number in range(6):
-                    await fleet.send(lonely, fleet_cluster.CRASHING_PATH, f"alone-{number}")
+                    await fleet.send(isolated, fleet_cluster.CRASHING_PATH, f"alone-{number}")
                 assert len(fleet.ended_at) == suspects.SUSPECT_ENDS
-                assert (await fleet.send(lonely, "/a/x1", "other")).status == 200
+                assert (await fleet.send(isolated, "/a/x1", "other")).status == 200
             for node in fleet.gateways:
                 await polling.wait_until(lambda node=node: node.view.suspect_by_fingerprint)
             await repeat_crashing_request(fleet, 1.0)
@@ -301,12 +301,12 @@
             index += 1
             return applied.apply(command, index)
 
-        court = trial_court.TrialCourt(lambda: applied, propose, clock.SystemClock())
-        assert await court.record_ends({"e1 1": ["f"]}) == []
-        assert await court.record_ends({"e1 2": ["f", "g"]}) == ["f"]
+        registry = suspect_registry.SuspectRegistry(lambda: applied, propose, clock.SystemClock())
+        assert await registry.record_ends({"e1 1": ["f"]}) == []
+        assert await registry.record_ends({"e1 2": ["f", "g"]}) == ["f"]
         used = 0
         for number, outcome in enumerate(outcomes):
-            granted = await court.begin_trial(f"t{number}", "f", "s", clock.ZERO)
+            granted = await registry.begin_trial(f"t{number}", "f", "s", clock.ZERO)
             if "f" not in applied.suspect_by_fingerprint():
                 assert granted
                 return
@@ -314,7 +314,7 @@
                 assert applied.suspect_by_fingerprint()["f"].quarantined
                 return
             used += 1
-            await court.end_trial(f"t{number}", "f", "s", outcome)
+            await registry.end_trial(f"t{number}", "f", "s", outcome)
             used -= outcome is suspects.TrialOutcome.NOT_RUN
             assert used <= suspects.MAX_TRIALS
             if outcome is suspects.TrialOutcome.FAILED:
--- a/tests/test_fleet_stranded.py
+++ b/tests/test_fleet_lost_paths.py
@@ -26,7 +26,7 @@
     monkeypatch.setattr(relaying, "LIST_LIFETIME", clock.seconds(0.2))
 
 
-def strand(node, how, monkeypatch):
+def cut_from_endpoints(node, how, monkeypatch):
     """Cuts a gateway from all endpoints.
 
     Args:
@@ -75,10 +75,10 @@
 
 
 # Gateways 0 and 3 are all of their zone; 0, 1 and 3 are all of their region.
-@pytest.mark.parametrize("stranded", [(0, 3), (0, 1, 3)])
+@pytest.mark.parametrize("cut_off", [(0, 3), (0, 1, 3)])
 @pytest.mark.parametrize("how", ["refuse", "reset", "hang", "live on"])
 def test_callers_of_gateways_without_paths_are_served_like_others(
-    tmp_path, monkeypatch, how, stranded
+    tmp_path, monkeypatch, how, cut_off
 ):
     """Such gateways went on to try endpoints and refused or failed nearly every request."""
 
@@ -86,10 +86,10 @@
         async with fleet_cluster.Fleet(tmp_path) as fleet:
             await wait_for_relays(fleet)
             await serve_all(fleet, fleet.gateways, 0.3)
-            cut = [fleet.gateways[number] for number in stranded]
+            cut = [fleet.gateways[number] for number in cut_off]
             others = [node for node in fleet.gateways if node not in cut]
             for node in cut:
-                strand(node, how, monkeypatch)
+                cut_from_endpoints(node, how, monkeypatch)
             await serve_all(fleet, fleet.gateways, CONTACT_S)
             statuses = await serve_all(fleet, fleet.gateways, 1.5)
             assert served_share(statuses, others) >= MIN_SHARE
@@ -107,7 +107,7 @@
             await wait_for_relays(fleet)
             node = fleet.gateways[0]
             await serve_all(fleet, [node], 1.0)
-            strand(node, "hang", monkeypatch)
+            cut_from_endpoints(node, "hang", monkeypatch)
             sent = [
                 fleet.spawn(fleet.send(node, f"/a/x{n}", f"hung-{n}", X_Deadline_Ms="5000"))
                 for n in range(8)
@@ -181,12 +181,12 @@
         routes = [fleet_fakes.make_route(regions=frozenset({"thrace"}))]
         async with fleet_cluster.Fleet(tmp_path, routes=routes) as fleet:
             await wait_for_relays(fleet)
-            stranded = [fleet.gateways[number] for number in (0, 1, 3)]
-            await lose_paths(stranded[0], "refuse", monkeypatch)
-            assert (await fleet.send(stranded[0], "/a/home", "near")).status == 200
-            for node in stranded[1:]:
+            cut_off = [fleet.gateways[number] for number in (0, 1, 3)]
+            await lose_paths(cut_off[0], "refuse", monkeypatch)
+            assert (await fleet.send(cut_off[0], "/a/home", "near")).status == 200
+            for node in cut_off[1:]:
                 await lose_paths(node, "refuse", monkeypatch)
-            response = await fleet.send(stranded[0], "/a/home", "far")
+            response = await fleet.send(cut_off[0], "/a/home", "far")
             assert response.status == 503
             assert float(response.headers["retry-after"]) > 0
 
@@ -312,6 +312,6 @@
 
 async def lose_paths(node, how, monkeypatch):
     """Cuts a gateway from all endpoints and waits until it has noticed."""
-    strand(node, how, monkeypatch)
+    cut_from_endpoints(node, how, monkeypatch)
     node._paths.on_connect_failed()
     await polling.wait_until(lambda: node._paths.lost)
