--- a/tests/test_fleet_endpoint_limits.py
+++ b/tests/test_fleet_endpoint_limits.py
@@ -182,6 +182,29 @@
     asyncio.run(work())
 
 
+# Of requests that the endpoint beside a limited one takes easily, at least so many are served.
+MIN_SERVED_SHARE = 0.95
+
+
+def test_free_endpoint_of_the_region_serves_what_a_limited_one_beside_it_does_not_take():
+    """The other endpoint of the object's region was not in its order, and requests were refused."""
+
+    async def work():
+        limited = fleet_fakes.FakeEndpoint("e1", handler=naming("1"))
+        free = fleet_fakes.FakeEndpoint("e2", slots=40)
+        async with fleet_fakes.GatewayHarness(limited, free) as harness:
+            responses = [
+                await harness.send(
+                    fleet_fakes.make_request(id_=f"i{n}", Cookie=f"X-Affinity-Key={n}")
+                )
+                for n in range(100)
+            ]
+            served = [response.status for response in responses].count(200)
+            assert served >= MIN_SERVED_SHARE * len(responses)
+
+    asyncio.run(work())
+
+
 def test_grant_is_not_used_after_it_has_expired(monkeypatch):
     """A gateway that was paused between a grant and the request sent it late."""
     monkeypatch.setattr(endpoint_limits, "GRANT_LIFETIME", clock.seconds(-1))
