--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,65 +1,89 @@
-"""Some servers send bytes without end, slowly, in the head of an answer: clients get no answer."""
+"""A server that was cut off for some seconds leaves, its departure is acknowledged, and a liveness
+report from the time of the cut arrives after that."""
 
 import asyncio
 import pathlib
-import random
 
 import stand_in_deployment as deployments
 import stand_in_parties as parties
 
-TIMEOUT_S = 1.0
-# Seconds after the route's timeout by which a final answer is due.
-GRACE_S = 0.5
-CLIENT_DEADLINE_S = 4.0
-PLAYED_S = 20.0
-# Largest dose of `garble` on the site: of a service's servers, and of their answers.
-FAULTY_SHARE, SPOILT_SHARE = 0.6, 0.05
-BYTE_PAUSE_S = 0.2
+CUT_S = 5.5
+# The report that the cut has held up arrives this much later than the departure's ack.
+REPORT_DELAY_S = 0.5
+DRAIN_S = 2.5
+# Gateways are in touch again `contact` after the cut.
+CONTACT_S = 3.0
+# The server serves on for `drainTimeout` after the ack and some seconds longer.
+SERVES_ON_S = 8.0
 
 
-class GarblingServer(parties.Server):
-    """Spoils some answers: the head never ends, and a byte of it comes now and then."""
+class LeavingServer(parties.Server):
+    """A server that leaves without having reported that it drains."""
 
-    spoils = False
+    held_report: dict | None = None
 
-    async def answer(self, id_, body, writer):
-        """Answers a request, or begins a head that never ends."""
-        if not self.spoils or random.random() >= SPOILT_SHARE:
-            await super().answer(id_, body, writer)
-            return
-        self._record.add(f"{self.id} sends a head without end to {id_}")
-        writer.write(b"HTTP/1.1 200 OK\r\nX-Fill: ")
-        while not writer.is_closing():
-            writer.write(b"a")
-            await writer.drain()
-            await asyncio.sleep(BYTE_PAUSE_S)
+    async def be_cut_off(self) -> None:
+        """Is cut off from all machines right before its next report is due."""
+        await asyncio.sleep(self.last_report_at + parties.HEARTBEAT_S - 0.1 - self._record.now())
+        self.stop_reports()
+        self.reachable.clear()
+        self._record.add(f"{self.id} is cut off")
+        # Its reports fail in the cut; one is on its way when the cut ends.
+        for _ in range(int(CUT_S / parties.HEARTBEAT_S) + 1):
+            self.held_report = self.report()
+        await asyncio.sleep(CUT_S)
+        self.reachable.set()
+        self._record.add(f"{self.id} is back")
+
+    async def leave(self) -> float:
+        """Leaves; returns when that was acknowledged."""
+        self.stop_reports()
+        status = await self._operator.order("instances.leave", self.id, {"born": self.born})
+        if status != 200:
+            raise deployments.CannotRunError(f"the departure was answered {status}")
+        return self._record.now()
 
 
 async def play(deployment, trouble):
     """Plays the case; returns the breaks of the rule."""
     operator = parties.Operator(deployment)
+    record = deployment.record
     await operator.wait_until_up()
     await operator.configure(
-        {"read": parties.route("search", "/read/", "idempotent", f"{TIMEOUT_S * 1000:.0f}ms")},
-        ["search"],
+        {"read": parties.route("search", "/read/", "idempotent", "1000ms")}, ["search"]
     )
-    zones = [*deployments.REGION_BY_ZONE, *deployments.REGION_BY_ZONE][:5]
-    servers = [GarblingServer(deployment, operator, "search", zone) for zone in zones]
+    leaving = LeavingServer(deployment, operator, "search", "thrace-a")
+    servers = [leaving] + [
+        parties.Server(deployment, operator, "search", zone)
+        for zone in deployments.REGION_BY_ZONE
+        for _ in range(2)
+    ]
     for server in servers:
         await server.start()
     await operator.wait_until_ready()
-    await asyncio.sleep(3.0)
-    for server in servers[: round(FAULTY_SHARE * len(servers))]:
-        server.spoils = trouble
+    await asyncio.sleep(8.0)
     clients = parties.Clients(deployment)
-    await clients.run("GET", "/read/", 60.0, PLAYED_S, CLIENT_DEADLINE_S)
+    traffic = asyncio.ensure_future(clients.run("GET", "/read/", 30.0, 40.0, 1.0))
+    await asyncio.sleep(3.0)
+    if trouble:
+        await leaving.be_cut_off()
+    acked_at = await leaving.leave()
+    record.add(f"the departure of {leaving.id} was acknowledged")
+    await asyncio.sleep(REPORT_DELAY_S)
+    if leaving.held_report is not None:
+        status = await leaving.send_report(leaving.held_report)
+        record.add(f"the held report of {leaving.id} arrived: {status}")
+    await asyncio.sleep(acked_at + SERVES_ON_S - record.now())
+    traffic.cancel()
+    # The departure was sent when the cut had ended.
+    binds_at = acked_at + max(DRAIN_S, CONTACT_S)
+    late = [run for run in leaving.runs if run.at > binds_at]
     for server in servers:
         await server.stop()
     return [
-        f"CONFIG: {s.request_id} at {s.gateway} waited {s.lasted_s:.2f} s for "
-        f"{f'its {s.status}' if s.status else 'an answer that never came'}, on a route with a "
-        f"timeout of {TIMEOUT_S:.0f} s"
-        for s in clients.unanswered(TIMEOUT_S, GRACE_S)
+        f"DRAIN: {run.request_id} reached {run.server} {run.at - acked_at:.2f} s after the ack of "
+        "its departure"
+        for run in late
     ]
 
 
