--- a/review/stand_in_deployment.py
+++ b/review/stand_in_deployment.py
@@ -158,14 +158,20 @@
         self.record.add(f"started {instance.name} on {instance.host}")
 
     def lose_disk(self, steward: Instance) -> None:
-        """Kills a steward and starts it again at its address with an empty disk."""
-        assert steward.process is not None
-        steward.process.kill()
-        steward.process.wait(10)
+        """Starts a steward again at its address with an empty disk; kills it before if it runs."""
+        self.kill(steward)
         shutil.rmtree(self.folder / steward.name)
-        self.record.add(f"{steward.name} was killed and has lost its disk")
+        self.record.add(f"{steward.name} has lost its disk")
         self.launch(steward)
 
+    def kill(self, instance: Instance) -> None:
+        """Kills a process if it runs."""
+        assert instance.process is not None
+        if instance.process.poll() is None:
+            instance.process.kill()
+            instance.process.wait(10)
+            self.record.add(f"{instance.name} was killed")
+
     def log_events(self, instance: Instance) -> list[dict]:
         """Returns what a process has logged."""
         events = []
@@ -220,7 +226,7 @@
         return ports
 
 
-def main(folder: str, play) -> None:
+def main(folder: str, play, gateways_per_zone: int = 1) -> None:
     """Plays a case: ``play(deployment, trouble)`` returns the breaks of its rule.
 
     Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
@@ -229,7 +235,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble {'on' if trouble else 'off'}")
     code = 2
-    deployment = Deployment(record)
+    deployment = Deployment(record, gateways_per_zone)
 
     async def run() -> list[str]:
         async with asyncio.timeout(110):
--- a/review/stand_in_parties.py
+++ b/review/stand_in_parties.py
@@ -325,6 +325,7 @@
     async def send(
         self, method: str, prefix: str, gateway: deployments.Instance, deadline_s: float,
         body: bytes = b"", wait_s: float | None = None,
+        key: str = deployments.KEY,
     ) -> Sent:  # fmt: skip
         """Sends one request and waits for its answer, by default until its deadline."""
         number = next(self._ids)
@@ -335,7 +336,7 @@
             "Host": deployments.HOST,
             "X-Request-Id": id_,
             "X-Deadline-Ms": str(round(deadline_s * 1000)),
-            "X-Api-Key": deployments.KEY,
+            "X-Api-Key": key,
         }
         answer = await http.call(
             self._deployment.front_address(gateway), method, f"{prefix}{number}", headers, body,
