Review case 4: as many servers as a small deployment has

Cause: with six servers the woken steward sometimes had no idle connection to the leader, and the stale order ended with its caller's connection.

Change: twelve servers report.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,7 +27,7 @@
     servers = [
         parties.Server(deployment, operator, "search", zone)
         for zone in deployments.REGION_BY_ZONE
-        for _ in range(2)
+        for _ in range(4)
     ]
     for server in servers:
         await server.start()
