Send members of the log messages of any length

Change: an append has at most 1 MiB, or one entry. A refusal is logged (2016), as is its end (2017). log_task is no longer part of fleet, so that control instances can use it. A proposal that has waited longer than its caller is no longer appended.

Earlier builds get messages up to their limit as before: they answer 404 to a part and are then sent the whole message.

--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -80,9 +80,9 @@
 STORAGE_FAILED = _define(
     2004,
     _ERROR,
-    "storage failed; this instance takes no further part",
+    "storage failed; this instance acknowledges nothing until it works again",
     "error",
-    "free space or replace the disk, then restart (docs/OPERATIONS.md)",
+    "free space or replace the disk (docs/OPERATIONS.md)",
 )
 STORAGE_RECOVERED = _define(2013, _INFO, "storage works again", "index")
 JOURNAL_UNREADABLE = _define(
@@ -115,6 +115,17 @@
     "control_add, then control_remove the lost identity",
 )
 
+MEMBER_UNREACHABLE = _define(
+    2016,
+    _WARN,
+    "a member of the log cannot be reached or refuses messages; logged once until it answers",
+    "member peer message error",
+    "a refusal names its reason; otherwise check the instance and the links",
+)
+MEMBER_REACHED = _define(2017, _INFO, "the member answers messages again", "member peer")
+PART_SENT_AGAIN = _define(
+    2018, _INFO, "a part of a long message to a member is sent again", "peer number error"
+)
 VERSION_IN_FORCE = _define(3001, _INFO, "configuration in force", "version source")
 VERSION_REFUSED = _define(
     3002,
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -22,9 +22,11 @@
     errors,
     events,
     journal,
+    log_task,
     metrics,
     replica,
     replica_messages,
+    replica_transport,
     server,
     supervisor,
     wire,
@@ -35,7 +37,6 @@
     endpoint_limits,
     follower,
     log_membership,
-    log_task,
     model,
     patch,
     presence,
@@ -241,6 +242,9 @@
         """Returns the state for a snapshot."""
         return self.state.dump()
 
+    def on_confirmed(self, confirmation: replica.Confirmation) -> None:
+        """Does nothing: polls ask the log for its confirmation."""
+
     def on_applied(self) -> None:
         """Wakes polls that are waiting for a change."""
         self._update_state_confirmed_at()
@@ -430,7 +434,7 @@
             now,
         )
         if new_members is not None:
-            await self.log.change_members(new_members, DECISION_TIMEOUT)
+            await self.log.change_members(lambda _: new_members, DECISION_TIMEOUT)
             return
         await self._record_zones(members)
 
@@ -463,6 +467,10 @@
         replies = await self.log.receive(body["sender"], message)
         return {"replies": [replica_messages.message_to_wire(r) for r in replies]}
 
+    async def _on_replica_part(self, body: typing.Any) -> typing.Any:
+        replies = await self.log.receive_part(body)
+        return {"replies": [replica_messages.message_to_wire(r) for r in replies]}
+
     async def _on_execute(self, body: typing.Any) -> typing.Any:
         self._require_leader_state()
         return await _OPERATIONS[body["operation"]](self, body["arguments"])
@@ -933,7 +941,8 @@
 
 
 _PEER_ROUTES = {
-    "POST /v1/replica": Steward._on_replica,
+    f"POST {replica_transport.MESSAGE_PATH}": Steward._on_replica,
+    f"POST {replica_transport.PART_PATH}": Steward._on_replica_part,
     "POST /v1/execute": Steward._on_execute,
     "POST /v1/follow": Steward._on_follow,
     "POST /v1/draw": Steward._on_draw,
--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -8,6 +8,7 @@
 
 import abc
 import dataclasses
+import functools
 import os
 import pathlib
 import struct
@@ -46,6 +47,11 @@
         """Returns the JSON representation."""
         return [self.index, self.term, self.kind, self.body]
 
+    @functools.cached_property
+    def byte_count(self) -> int:
+        """Length of the JSON representation in bytes."""
+        return len(orjson.dumps(self.to_wire()))
+
 
 @dataclasses.dataclass(frozen=True)
 class Snapshot:
@@ -99,10 +105,25 @@
         offset = index - self.snapshot.index - 1
         return self.entries[offset].term if 0 <= offset < len(self.entries) else None
 
-    def slice(self, start: int, limit: int) -> list[Entry]:
-        """Returns up to ``limit`` entries from index ``start``."""
+    def slice(self, start: int, limit: int, max_bytes: int | None = None) -> list[Entry]:
+        """Returns up to ``limit`` entries from index ``start``.
+
+        Args:
+            start: Index of the first entry.
+            limit: Maximum number of entries.
+            max_bytes: Maximum length of their JSON representations together, None for no maximum.
+                The first entry is returned even if it is longer.
+        """
         offset = start - self.snapshot.index - 1
-        return self.entries[offset : offset + limit]
+        entries = self.entries[offset : offset + limit]
+        if max_bytes is None:
+            return entries
+        total = 0
+        for count, entry in enumerate(entries):
+            total += entry.byte_count
+            if total > max_bytes and count:
+                return entries[:count]
+        return entries
 
     def set_vote(self, term: int, voted_for: str) -> None:
         """Sets the current term and the vote in it."""
--- a/flamingotiller/fleet/log_task.py
+++ b/flamingotiller/log_task.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 import collections.abc
-import contextlib
 import dataclasses
 import datetime
 import random
@@ -23,10 +22,10 @@
     journal,
     replica,
     replica_messages,
+    replica_transport,
 )
 
 TICK = clock.seconds(0.05)
-PEER_TIMEOUT = clock.seconds(1)  # longer than any round trip between regions with a disk sync
 MAX_MESSAGES_IN_FLIGHT = 8
 MAX_QUEUED_MESSAGES = 64
 STORAGE_RETRY_INTERVAL = clock.seconds(0.25)
@@ -54,6 +53,9 @@
     def on_applied(self) -> None:
         """Called after each batch of applied entries and after a snapshot is installed."""
 
+    def on_confirmed(self, confirmation: replica.Confirmation) -> None:
+        """Called while this replica leads and has applied everything confirmed."""
+
 
 @dataclasses.dataclass(frozen=True)
 class ReceivedMessage:
@@ -64,12 +66,23 @@
     replies: asyncio.Future[list[replica_messages.Message]]
 
 
+MembersChange = collections.abc.Callable[[replica_messages.Members], replica_messages.Members]
+
+
 @dataclasses.dataclass(frozen=True)
 class Proposal:
-    """A command or membership change to append; the future receives its result."""
+    """A command or membership change to append.
+
+    Attributes:
+        command: The command; for a membership change, a function of the membership in force.
+        result: Receives the result of applying the command.
+        expires_at: Monotonic time after which it is not appended, since its caller has gone.
+        is_members: Whether it is a membership change.
+    """
 
     command: typing.Any
     result: asyncio.Future[typing.Any]
+    expires_at: datetime.timedelta
     is_members: bool = False
 
 
@@ -113,6 +126,7 @@
         rng: Random number generator for election timeouts.
         timing: Intervals of the replica.
         spawn: Starts a supervised task under a name.
+        snapshot_interval: Number of entries after which the log is compacted; the default if None.
 
     Attributes:
         replica: The replica.
@@ -129,10 +143,13 @@
         rng: random.Random,
         timing: replica.Timing,
         spawn: collections.abc.Callable[[str, collections.abc.Callable], None],
+        snapshot_interval: int | None = None,
     ) -> None:
         self.replica = replica.Replica(store, clk.monotonic(), rng, timing)
         self._machine = machine
-        self._peers = peers
+        self._sender = replica_transport.Sender(peers, store.identity)
+        self._assembler = replica_transport.Assembler()
+        self._snapshot_interval = snapshot_interval or SNAPSHOT_INTERVAL
         self._clock = clk
         self._spawn = spawn
         self._inbox: asyncio.Queue[Inbound] = asyncio.Queue()
@@ -191,6 +208,15 @@
         await self._inbox.put(ReceivedMessage(sender, message, future))
         return await future
 
+    async def receive_part(self, part: typing.Any) -> list[replica_messages.Message]:
+        """Handles a part of a message from a member; returns the replies to the whole message.
+
+        Raises:
+            errors.InvalidInputError: The part is malformed, or an earlier one is missing.
+        """
+        received = self._assembler.add(part)
+        return await self.receive(*received) if received is not None else []
+
     async def propose(self, command: typing.Any, timeout: datetime.timedelta) -> typing.Any:
         """Proposes a command and returns the result of applying it once it is committed.
 
@@ -203,17 +229,21 @@
         """
         return await self._submit(command, timeout, is_members=False)
 
-    async def change_members(
-        self, members: replica_messages.Members, timeout: datetime.timedelta
-    ) -> None:
-        """Proposes a membership; raises as ``propose`` and ``replica.propose_members`` do."""
-        await self._submit(members, timeout, is_members=True)
+    async def change_members(self, change: MembersChange, timeout: datetime.timedelta) -> None:
+        """Proposes a membership; raises as ``propose`` and ``replica.propose_members`` do.
+
+        Args:
+            change: Returns the new membership for the one in force.
+            timeout: How long to wait for the commit.
+        """
+        await self._submit(change, timeout, is_members=True)
 
     async def _submit(
         self, command: typing.Any, timeout: datetime.timedelta, *, is_members: bool
     ) -> typing.Any:
         future = asyncio.get_running_loop().create_future()
-        await self._inbox.put(Proposal(command, future, is_members))
+        expires_at = self._clock.monotonic() + timeout
+        await self._inbox.put(Proposal(command, future, expires_at, is_members))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 return await future
@@ -268,9 +298,7 @@
             if isinstance(item, ReceivedMessage):
                 self.replica.receive(item.message, now)
             elif isinstance(item, Proposal):
-                propose = self.replica.propose_members if item.is_members else self.replica.propose
-                index, term = propose(item.command, now)
-                self._pending_proposals.setdefault(index, []).append((term, item.result))
+                self._append(item, now)
         except errors.FlamingotillerError as error:
             if isinstance(error, errors.StorageError):
                 events.emit(events.STORAGE_FAILED, error=error)
@@ -280,6 +308,18 @@
             elif isinstance(item, Proposal):
                 _resolve(item.result, error=error)
 
+    def _append(self, proposal: Proposal, now: datetime.timedelta) -> None:
+        if proposal.result.done() or now > proposal.expires_at:
+            # It waited while storage failed or the process was stopped. Its caller has been told
+            # that it is undecided, and may have given another order since.
+            raise errors.UnavailableError("the command waited for too long", step="propose")
+        if proposal.is_members:
+            members = proposal.command(self.replica.members)
+            index, term = self.replica.propose_members(members, now)
+        else:
+            index, term = self.replica.propose(proposal.command, now)
+        self._pending_proposals.setdefault(index, []).append((term, proposal.result))
+
     async def _sync_journal(self) -> None:
         """Syncs the journal in a thread; returns only once the journal is durable, so that nothing
         is sent or applied while storage fails."""
@@ -321,6 +361,9 @@
             self._apply(entry)
         if self._applied != applied_before:
             self._machine.on_applied()
+        confirmation = self.replica.confirmation
+        if confirmation is not None and self._applied >= confirmation.index:
+            self._machine.on_confirmed(confirmation)
 
     def _apply(self, entry: journal.Entry) -> None:
         result = None
@@ -394,7 +437,7 @@
             self._fail_pending_proposals(self._leadership_lost_error())
 
     async def _compact(self) -> None:
-        if self._applied - self.replica.store.snapshot.index < SNAPSHOT_INTERVAL:
+        if self._applied - self.replica.store.snapshot.index < self._snapshot_interval:
             return
         try:
             self.replica.compact(self._applied, self._machine.dump())
@@ -437,18 +480,8 @@
         address = self.replica.members.address_of(identity)
         if not address:
             return
-        body = {
-            "sender": self.replica.identity,
-            "message": replica_messages.message_to_wire(message),
-        }
-        # A lost message is harmless: the next heartbeat sends its content again.
-        with contextlib.suppress(errors.FlamingotillerError, KeyError, TypeError):
-            response = await self._peers.call(
-                address, "POST", "/v1/replica", body, timeout=PEER_TIMEOUT
-            )
-            document = client.raise_for_status(response, step="replicate", peer=address)
-            for reply in document["replies"]:
-                await self._deliver(identity, replica_messages.message_from_wire(reply))
+        for reply in await self._sender.send(identity, address, message):
+            await self._deliver(identity, reply)
 
     async def _deliver(self, sender: str, message: replica_messages.Message) -> None:
         for reply in await self.receive(sender, message):
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -14,7 +14,9 @@
 
 from flamingotiller import clock, errors, journal, replica_messages
 
+# Bounds of an append; a single entry that is longer is sent alone.
 MAX_ENTRIES_PER_APPEND = 256
+MAX_BYTES_PER_APPEND = 1024 * 1024
 # Entries that a member has not acknowledged are sent again after this many heartbeats.
 RETRANSMIT_HEARTBEATS = 2
 
@@ -374,9 +376,10 @@
                 snapshot = journal.Snapshot(
                     message.index, message.snapshot_term, message.members, message.state
                 )
-                self.store.install(snapshot)
+                # Set first: a snapshot that could not be written is written again later.
                 self._members_cache = None
                 self.commit = message.index
+                self.store.install(snapshot)
         self._send_append_reply(message.leader, True, message.index, message.round)
 
     def _on_append_reply(
@@ -434,8 +437,10 @@
         progress = self._progress(identity)
         in_flight = progress.sent_through >= progress.next_index
         retransmit_at = progress.sent_at + RETRANSMIT_HEARTBEATS * self.timing.heartbeat
-        if in_flight and now < retransmit_at and progress.match >= self.store.snapshot.index:
-            self._send_entries(identity, progress.match, [])
+        if in_flight and now < retransmit_at:
+            # Every member has the beginning of the log, also one that waits for a snapshot.
+            known = progress.match if progress.match >= self.store.snapshot.index else 0
+            self._send_entries(identity, known, [])
             return
         progress.sent_through = 0
         self._send_append(identity, now)
@@ -447,7 +452,9 @@
             progress.sent_at = now
             self._send_snapshot(identity, progress)
             return
-        entries = self.store.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
+        entries = self.store.slice(
+            progress.next_index, MAX_ENTRIES_PER_APPEND, MAX_BYTES_PER_APPEND
+        )
         if entries:
             progress.sent_through = entries[-1].index
             progress.sent_at = now
@@ -458,7 +465,7 @@
             term=self.store.term,
             leader=self.identity,
             previous_index=previous,
-            previous_term=typing.cast(int, self.store.term_at(previous)),
+            previous_term=self.store.term_at(previous) or 0,
             entries=[entry.to_wire() for entry in entries],
             commit=self.commit,
             round=self._round,
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -3,13 +3,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import shutil
 
 import polling
 import pytest
 import steward_cluster
 
-from flamingotiller import clock, errors, journal
+from flamingotiller import clock, errors, events, journal, server
 from flamingotiller.fleet import model, state, steward
 
 StewardCluster = steward_cluster.StewardCluster
@@ -113,6 +114,73 @@
     asyncio.run(scenario())
 
 
+def long_update(version, length):
+    # Not compressible, so that it is as long on the wire as in memory.
+    text = random.Random(version).randbytes(length // 2).hex()
+    items = {"limits/": model.to_document(model.Limits(head_bytes=version))}
+    return steward.ConfigurationUpdate(
+        version, version - 1, str(version), items, {"version": f"r{version}", "text": text}
+    )
+
+
+@pytest.mark.parametrize(
+    ("count", "length", "compacts"),
+    [(24, 500_000, False), (1, 9_000_000, False), (1, 9_000_000, True)],
+    ids=["many entries", "a long entry", "a long snapshot"],
+)
+def test_steward_with_a_lost_disk_catches_up_with_a_log_of_any_length(
+    tmp_path, count, length, compacts
+):
+    """A steward that lost its disk never caught up with more than 8 MiB, since that was sent in one
+    message and refused unheard; with the next lost disk no configuration could be read any more."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            await cluster.wait_for_voters(3)
+            for version in range(1, count + 1):
+                await cluster.retry(lambda n, v=version: n.configure(long_update(v, length)))
+            newest = long_update(count, length)
+            for node in cluster.by_host.values():
+                await polling.wait_until(lambda n=node: n.state.version == count)
+                if compacts:
+                    node.log.replica.compact(node.log._applied, node.dump())
+            for _ in range(2):
+                leader = await cluster.wait_for_voters(3)
+                host = leader.config.host
+                await cluster.stop(host)
+                shutil.rmtree(tmp_path / host)
+                node = await cluster.start(host)
+                identity = node.log.replica.identity
+                await polling.wait_until(lambda i=identity: i in current_members(cluster).voters)
+                assert await cluster.retry(lambda n: n.read_configuration()) == newest.source
+
+    asyncio.run(scenario())
+
+
+def test_refused_message_between_stewards_is_logged(tmp_path, monkeypatch):
+    """Messages to a member were refused and sent again for good, and no log told of it."""
+    emitted = []
+    monkeypatch.setattr(events, "emit", lambda event, **fields: emitted.append((event, fields)))
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            identity = follower.log.replica.identity
+            limits = follower._server.limits
+            follower._server.limits = server.Limits(body_bytes=1)
+
+            def lines(event):
+                return [f for e, f in emitted if e is event and f["member"] == identity]
+
+            await polling.wait_until(lambda: lines(events.MEMBER_UNREACHABLE))
+            assert "body is too large" in lines(events.MEMBER_UNREACHABLE)[0]["error"]
+            follower._server.limits = limits
+            await polling.wait_until(lambda: lines(events.MEMBER_REACHED))
+
+    asyncio.run(scenario())
+
+
 def test_steward_with_a_damaged_journal_rejoins_as_a_new_member_with_the_full_state(tmp_path):
     """After a loss of power a steward did not start again, since its journal was damaged, though
     one with an empty disk does; the damaged files are kept."""
--- a/tests/test_fleet_log_task.py
+++ b/tests/test_log_task.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-from flamingotiller import replica_messages
-from flamingotiller.fleet import log_task
+from flamingotiller import log_task, replica_messages
 
 
 def append(round_number):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -239,6 +239,68 @@
     assert cluster.nodes[behind].commit == cluster.nodes[cluster.leader()].commit
 
 
+def appends_to(cluster, member):
+    return [
+        message
+        for _, target, message in cluster.messages
+        if target == member and isinstance(message, replica_messages.Append) and message.entries
+    ]
+
+
+def test_missing_entries_are_sent_in_messages_of_bounded_length():
+    """A member that lost its disk never caught up: what it missed was sent in one message, which
+    was longer than members accept."""
+    cluster, leader = cluster_with_leader()
+    node = cluster.nodes[leader]
+    size = replica.MAX_BYTES_PER_APPEND // 3
+    for number in range(20):
+        node.propose({"value": number, "text": "x" * size}, cluster.now)
+    node.propose({"value": 20, "text": "x" * 2 * replica.MAX_BYTES_PER_APPEND}, cluster.now)
+    cluster.flush(leader)
+    cluster.run(2)
+    newcomer = cluster.lose_disk(next(n for n in cluster.nodes if n != leader))
+    assert not cluster.change_members(
+        leader, lambda m: replica_messages.Members(m.voters, {newcomer: "addr"})
+    )
+    while cluster.nodes[newcomer].commit < node.commit:
+        cluster.now += clock.seconds(0.1)
+        cluster.tick(leader)
+        for message in appends_to(cluster, newcomer):
+            length = sum(journal.Entry(*entry).byte_count for entry in message.entries)
+            assert length <= replica.MAX_BYTES_PER_APPEND or len(message.entries) == 1
+        while cluster.messages:
+            cluster.deliver(0)
+    assert cluster.nodes[newcomer].store.last_index == node.store.last_index
+
+
+def test_snapshot_on_its_way_is_not_sent_again_with_each_heartbeat():
+    """A large snapshot takes longer than a heartbeat; its member must go on hearing the leader."""
+    cluster, leader = cluster_with_leader()
+    node = cluster.nodes[leader]
+    cluster.propose(leader)
+    cluster.run(1)
+    node.compact(node.commit, {"upto": node.commit})
+    newcomer = cluster.lose_disk(next(n for n in cluster.nodes if n != leader))
+    assert not cluster.change_members(
+        leader, lambda m: replica_messages.Members(m.voters, {newcomer: "addr"})
+    )
+    cluster.messages.clear()
+    node._progress(newcomer).next_index = 1
+    kinds = []
+    for _ in range(replica.RETRANSMIT_HEARTBEATS):
+        node.broadcast(cluster.now)
+        kinds += [type(m).__name__ for target, m in node.outbox if target == newcomer]
+        heartbeats = [m for t, m in node.outbox if t == newcomer and type(m).__name__ == "Append"]
+        node.outbox.clear()
+        for heartbeat in heartbeats:
+            cluster.nodes[newcomer].receive(heartbeat, cluster.now)
+            _, reply = cluster.nodes[newcomer].outbox.pop()
+            assert reply.ok
+            node.receive(reply, cluster.now)
+    assert kinds == ["InstallSnapshot", "Append"]
+    assert not [m for t, m in node.outbox if t == newcomer]
+
+
 @pytest.mark.parametrize(
     "document",
     [
