Keep a voter that lost its disk until its successor can vote

Cause: the lost identity was removed from the voters as soon as its instance asked to join under a new one. A successor that could not catch up left fewer disks with what had been acknowledged, down to one after several losses. A late join request of the earlier identity removed the living one, too.

Change: the new identity learns first and then takes the place of the voter at its address in one change of the membership. Majorities before and after have a member in common that can act, since the lost identity neither votes nor acknowledges. Operators' "members promote" does the same for control instances.

--- a/flamingotiller/control_routes.py
+++ b/flamingotiller/control_routes.py
@@ -277,7 +277,8 @@
 async def change_members(
     process: control.ControlInstance, request: server.Request, reply: server.Reply
 ) -> None:
-    """Adds a learner, promotes a caught-up learner to a voter, or removes a member."""
+    """Adds a learner, promotes a caught-up learner to a voter, in place of the identity that its
+    instance had before it lost its disk, or removes a member."""
     process.require_operator(request)
     body = await read_model(MemberRequest, request)
     await process.change_members(lambda members: _apply_member_request(members, body))
@@ -298,7 +299,7 @@
     elif body.action == "promote":
         if body.identity not in learners:
             raise errors.NotFoundError(f"{body.identity} is not a learner", step="members")
-        voters[body.identity] = learners.pop(body.identity)
+        return members.with_promoted(body.identity)
     else:
         if body.identity not in voters and body.identity not in learners:
             raise errors.NotFoundError(f"{body.identity} is not a member", step="members")
--- a/flamingotiller/fleet/log_membership.py
+++ b/flamingotiller/fleet/log_membership.py
@@ -1,5 +1,5 @@
 """Decides the next change of the log's membership, which adds, promotes or removes a single
-member."""
+member. A voter that lost its disk stays until the instance's new identity takes its place."""
 
 from __future__ import annotations
 
@@ -67,13 +67,13 @@
     for request in join_requests:
         if now - request.requested_at > JOIN_REQUEST_LIFETIME:
             continue
-        previous = _previous_identity(members, request)
+        previous = _previous_learner(members, request)
         if previous:
             return _without(members, previous)
         if request.identity in members.learners:
             progress = progress_by_identity.get(request.identity)
             if progress and progress.match >= commit > 0:
-                return _with_promoted(members, request.identity)
+                return members.with_promoted(request.identity)
         elif request.identity not in members.voters:
             learners = {**members.learners, request.identity: request.address}
             return replica_messages.Members(members.voters, learners)
@@ -84,10 +84,10 @@
     return _without(members, failed) if failed else None
 
 
-def _previous_identity(members: replica_messages.Members, request: JoinRequest) -> str:
-    """Returns another member with the request's address, empty if none: that member's disk was lost
-    and the instance started again under a new identity."""
-    for identity, address in (*members.voters.items(), *members.learners.items()):
+def _previous_learner(members: replica_messages.Members, request: JoinRequest) -> str:
+    """Returns another learner with the address of a request, empty if none: its disk was lost, and
+    the instance started again under a new identity, before it became a voter."""
+    for identity, address in members.learners.items():
         if address == request.address and identity != request.identity:
             return identity
     return ""
@@ -120,9 +120,3 @@
     voters = {i: a for i, a in members.voters.items() if i != identity}
     learners = {i: a for i, a in members.learners.items() if i != identity}
     return replica_messages.Members(voters, learners) if voters else None
-
-
-def _with_promoted(members: replica_messages.Members, identity: str) -> replica_messages.Members:
-    learners = dict(members.learners)
-    voters = {**members.voters, identity: learners.pop(identity)}
-    return replica_messages.Members(voters, learners)
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -547,7 +547,8 @@
     def propose_members(
         self, members: replica_messages.Members, now: datetime.timedelta
     ) -> tuple[int, int]:
-        """Appends a membership that differs from the current one in at most one voter.
+        """Appends a membership that differs from the current one in at most one voter, or has a
+        successor in place of a voter that lost its disk.
 
         Returns:
             Index and term of the entry, as ``propose``.
@@ -569,9 +570,11 @@
             )
         added = members.voters.keys() - self.members.voters.keys()
         removed = self.members.voters.keys() - members.voters.keys()
-        if len(added) + len(removed) > 1 or not members.voters:
+        is_replacement = self.members.replaces_lost_voter(members)
+        if (len(added) + len(removed) > 1 and not is_replacement) or not members.voters:
             raise errors.InvalidInputError(
-                "a membership change may add or remove only one voter and must leave at least one",
+                "a membership change may add, remove or replace only one voter and must leave "
+                "at least one",
                 step="change members",
             )
         if any(self._progress(identity).match < self.commit for identity in added):
--- a/flamingotiller/replica_messages.py
+++ b/flamingotiller/replica_messages.py
@@ -28,6 +28,29 @@
         """Returns the JSON representation."""
         return {"voters": self.voters, "learners": self.learners}
 
+    def with_promoted(self, identity: str) -> Members:
+        """Returns the membership with a learner as a voter, in place of the voter at its address if
+        there is one: two identities at one address are the same instance before and after its disk
+        was lost."""
+        learners = dict(self.learners)
+        address = learners.pop(identity)
+        voters = {i: a for i, a in self.voters.items() if a != address}
+        return Members({**voters, identity: address}, learners)
+
+    def replaces_lost_voter(self, changed: Members) -> bool:
+        """Returns whether another membership has a learner of this one in place of the voter at the
+        learner's address, and no other change of voters.
+
+        Such a change is as safe as the change of a single voter: the lost identity can neither vote
+        nor acknowledge, so any two majorities that can act have a member in common.
+        """
+        added = changed.voters.keys() - self.voters.keys()
+        removed = self.voters.keys() - changed.voters.keys()
+        if len(added) != 1 or len(removed) != 1:
+            return False
+        successor, lost = added.pop(), removed.pop()
+        return self.learners.get(successor) == self.voters[lost] == changed.voters[successor]
+
     @property
     def quorum(self) -> int:
         """Number of voters that form a majority."""
