Let control instances go on after a full disk

Cause: a control instance drove the log by itself, and one failed write ended its part until a restart.

Change: control instances use log_task, too; their own loop, queues and senders are gone. They refuse while the disk is full and take part again afterwards.

test_change_is_not_accepted_after_a_failed_sync held that the instance never takes part again; test_change_is_not_accepted_while_the_disk_is_full checks the same refusal and the same reason of not being ready, and that changes are accepted once the disk has room.

Stewards hold it: test_updates_go_on_after_each_disk_in_turn_was_full passes with their code unchanged.

--- a/flamingotiller/control_routes.py
+++ b/flamingotiller/control_routes.py
@@ -15,6 +15,7 @@
     events,
     kernel,
     replica_messages,
+    replica_transport,
     server,
     settings,
 )
@@ -95,14 +96,25 @@
     return validate(model, await request.read_json(), request.peer)
 
 
-@kernel.control_routes.register("POST /v1/replica")
+@kernel.control_routes.register(f"POST {replica_transport.MESSAGE_PATH}")
 async def receive_message(
     process: control.ControlInstance, request: server.Request, reply: server.Reply
 ) -> None:
     """Receives a message of another member and answers with the replies to it."""
     process.require_peer(request)
     body = await read_model(ReplicaRequest, request)
-    replies = await process.receive(body.sender, replica_messages.message_from_wire(body.message))
+    message = replica_messages.message_from_wire(body.message)
+    replies = await process.log.receive(body.sender, message)
+    await reply.json(200, {"replies": [replica_messages.message_to_wire(item) for item in replies]})
+
+
+@kernel.control_routes.register(f"POST {replica_transport.PART_PATH}")
+async def receive_part(
+    process: control.ControlInstance, request: server.Request, reply: server.Reply
+) -> None:
+    """Receives a part of a long message and answers with the replies once it is complete."""
+    process.require_peer(request)
+    replies = await process.log.receive_part(await request.read_json())
     await reply.json(200, {"replies": [replica_messages.message_to_wire(item) for item in replies]})
 
 
