--- a/flamingotiller/configuration.py
+++ b/flamingotiller/configuration.py
@@ -360,12 +360,12 @@
         )
 
     def to_wire(self) -> dict[str, typing.Any]:
-        """Returns the whole state as JSON, for snapshots."""
+        """Returns the whole state as JSON, for snapshots; later changes do not affect it."""
         return {
             "version": self.version,
             "items": {s: dataclasses.asdict(i) for s, i in self.item_by_subject.items()},
             "verdicts": [dataclasses.asdict(v) for v in self.verdict_by_change_id.values()],
-            "removals": self.removal_by_kind,
+            "removals": dict(self.removal_by_kind),
         }
 
     @classmethod
--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -189,7 +189,7 @@
         ]
 
     def dump(self) -> dict[str, typing.Any]:
-        """Returns the JSON form, for snapshots."""
+        """Returns the JSON form, for snapshots; later commands do not affect it."""
         return {
             "table": self.table.dump(),
             "version": self.version,
@@ -197,7 +197,7 @@
             "digests": [[v, d] for v, d in self._digest_by_version.items()],
             "latest": [[id_, *latest] for id_, latest in self._latest_by_id.items()],
             "silent": sorted(self._silent_ids),
-            "zones": self.zone_by_identity,
+            "zones": dict(self.zone_by_identity),
         }
 
     @classmethod
--- a/flamingotiller/fleet/table.py
+++ b/flamingotiller/fleet/table.py
@@ -75,8 +75,11 @@
         return Delta(self.revision, False, changed)
 
     def dump(self) -> dict[str, typing.Any]:
-        """Returns the table as a JSON object for a snapshot, without the history."""
-        return {"revision": self.revision, "items": self.item_by_subject}
+        """Returns the table as a JSON object for a snapshot, without the history.
+
+        Later changes of the table do not affect it: a snapshot may be sent long after it was taken.
+        """
+        return {"revision": self.revision, "items": dict(self.item_by_subject)}
 
     @classmethod
     def load(cls, document: dict[str, typing.Any]) -> Table:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,7 @@
 """Tests of the configuration: concurrent changes, change ids, keys, deltas and snapshots."""
 
+import dataclasses
+
 import hypothesis
 import hypothesis.stateful as stateful
 import hypothesis.strategies as st
@@ -168,3 +170,16 @@
     with pytest.raises(errors.InvalidInputError):
         state.absorb(document)
     assert state.version == 0
+
+
+def test_snapshot_is_not_changed_by_later_changes():
+    state = configuration.Configuration()
+    state.apply(change(1, "contract/growers", 0, CONTRACT))
+    state.apply(change(2))
+    snapshot = state.to_wire()
+    taken = repr(snapshot)
+    state.apply(change(3, "drain/zone/b"))
+    removal = change(4)
+    state.apply(dataclasses.replace(removal, value=None))
+    state.apply(change(5, "contract/growers", None, {**CONTRACT, "rate": 20}))
+    assert repr(snapshot) == taken
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 import hypothesis.strategies as st
+import orjson
 import pytest
 
 from flamingotiller.fleet import model, patch, state, table
@@ -256,3 +257,39 @@
         "set": {"version": "r2"},
         "into": {"routes": {"set": {"r7": {"host": "h", "path": "/x/"}}}},
     }
+
+
+LATER_COMMANDS = [
+    configure(5, 3, items={"route/r": {"path": "/new"}, "service/t": {"cold_s": 1.0}}),
+    {"kind": "evacuate", "zone": "a", "active": True},
+    {"kind": "evacuate", "zone": "a", "active": False},
+    report("e2", address="10.0.0.2:80"),
+    report("e1", sequence=2, draining=True),
+    leave("e1"),
+    leave("e2", silent=True),
+    {"kind": "locate", "identity": "n.2", "zone": "b"},
+    {"kind": "suspect", "documents": {"f": {"deaths": 1}}},
+]
+
+
+def test_snapshot_is_not_changed_by_later_commands():
+    """A snapshot that was sent later than it was taken held later changes, so that its receiver did
+    not tell gateways of a key that was withdrawn in between."""
+    items = {"organisation/o": {"keys": ["k"]}, "service/search": {"cold_s": 1.0}}
+    fleet, _ = run(configure(3, 0, items=items), report())
+    snapshot = fleet.dump()
+    taken = orjson.dumps(snapshot)
+    for command in LATER_COMMANDS:
+        run(command, fleet=fleet)
+        assert orjson.dumps(snapshot) == taken, command["kind"]
+    withdrawal = configure(8, 5)
+    withdrawal["items"] = {"drop": ["organisation/o"]}
+    run(withdrawal, fleet=fleet)
+    assert orjson.dumps(snapshot) == taken
+    follower = state.FleetState.load(snapshot)
+    reader_revision = follower.table.revision
+    run(*LATER_COMMANDS, withdrawal, fleet=follower)
+    assert follower.dump() == fleet.dump()
+    delta = follower.table.since(reader_revision)
+    assert not delta.full
+    assert delta.items["organisation/o"] is None
