Compact the log by its length, too

Cause: the log was compacted after 2,000 entries whatever their length. Entries of 180 KB, as changes of all routes of a large configuration are, keep 360 MB in the memory of an instance and in its file.

--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -69,6 +69,11 @@
     members: typing.Any = None
     state: typing.Any = None
 
+    @functools.cached_property
+    def byte_count(self) -> int:
+        """Length of the state's JSON text in bytes."""
+        return len(orjson.dumps(self.state))
+
 
 class Journal(abc.ABC):
     """Term, vote, log and snapshot of one replica.
@@ -87,6 +92,9 @@
         self.voted_for = ""
         self.snapshot = Snapshot()
         self.entries: list[Entry] = []
+        # Number of entries counted in ``_entry_bytes``, and their length.
+        self._counted_entries = 0
+        self._entry_bytes = 0
 
     @property
     def last_index(self) -> int:
@@ -105,6 +113,17 @@
         offset = index - self.snapshot.index - 1
         return self.entries[offset].term if 0 <= offset < len(self.entries) else None
 
+    @property
+    def entry_bytes(self) -> int:
+        """Length of the entries' JSON representations in bytes."""
+        for entry in self.entries[self._counted_entries :]:
+            self._entry_bytes += entry.byte_count
+        self._counted_entries = len(self.entries)
+        return self._entry_bytes
+
+    def _recount(self) -> None:
+        self._counted_entries = self._entry_bytes = 0
+
     def slice(self, start: int, limit: int, max_bytes: int | None = None) -> list[Entry]:
         """Returns up to ``limit`` entries from index ``start``.
 
@@ -138,6 +157,7 @@
     def truncate(self, index: int) -> None:
         """Removes the entry at ``index`` and all later ones."""
         del self.entries[index - self.snapshot.index - 1 :]
+        self._recount()
         self._write({"truncate": index})
 
     def compact(self, snapshot: Snapshot) -> None:
@@ -148,6 +168,7 @@
         """
         remaining = [entry for entry in self.entries if entry.index > snapshot.index]
         self.snapshot, self.entries = snapshot, remaining
+        self._recount()
         self._rewrite()
 
     def install(self, snapshot: Snapshot) -> None:
@@ -157,6 +178,7 @@
             errors.SyncFailedError: Data written since the last successful sync may not be durable.
         """
         self.snapshot, self.entries = snapshot, []
+        self._recount()
         self._rewrite()
 
     @property
--- a/flamingotiller/log_task.py
+++ b/flamingotiller/log_task.py
@@ -35,7 +35,10 @@
 FIRST_ELECTION_FRACTION = 0.2
 # Length of the leader lease as a fraction of the election timeout; the rest allows for clock drift.
 LEADER_LEASE_FRACTION = 0.8
-SNAPSHOT_INTERVAL = 2000  # entries; bounds the replay at startup
+# The log is compacted after this many entries, and after this many bytes if it is longer than the
+# snapshot by then; both bound its memory, its file and the replay at startup.
+SNAPSHOT_INTERVAL = 2000
+SNAPSHOT_LOG_BYTES = 4 * 1024 * 1024
 
 
 class StateMachine(typing.Protocol):
@@ -436,8 +439,17 @@
             events.emit(events.LEADERSHIP_LOST, term=term, reason="term or quorum")
             self._fail_pending_proposals(self._leadership_lost_error())
 
+    def _is_compaction_due(self) -> bool:
+        store = self.replica.store
+        if self._applied == store.snapshot.index:
+            return False
+        if self._applied - store.snapshot.index >= self._snapshot_interval:
+            return True
+        length = store.entry_bytes
+        return length >= SNAPSHOT_LOG_BYTES and length >= store.snapshot.byte_count
+
     async def _compact(self) -> None:
-        if self._applied - self.replica.store.snapshot.index < self._snapshot_interval:
+        if not self._is_compaction_due():
             return
         try:
             self.replica.compact(self._applied, self._machine.dump())
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -10,7 +10,7 @@
 import pytest
 import steward_cluster
 
-from flamingotiller import clock, errors, events, journal, server
+from flamingotiller import clock, errors, events, journal, log_task, server
 from flamingotiller.fleet import model, state, steward
 
 StewardCluster = steward_cluster.StewardCluster
@@ -157,6 +157,24 @@
     asyncio.run(scenario())
 
 
+def test_log_of_long_entries_is_compacted_by_its_length(tmp_path, monkeypatch):
+    """A log of a few hundred large configurations took all memory of an instance, since it was
+    compacted by the number of its entries alone."""
+    monkeypatch.setattr(log_task, "SNAPSHOT_LOG_BYTES", 200_000)
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            await cluster.wait_for_voters(3)
+            for version in range(1, 31):
+                await cluster.retry(lambda n, v=version: n.configure(long_update(v, 50_000)))
+            for node in cluster.by_host.values():
+                await polling.wait_until(lambda n=node: n.state.version == 30)
+                await polling.wait_until(lambda n=node: n.log.replica.store.entry_bytes < 300_000)
+                assert (tmp_path / node.config.host / "log").stat().st_size < 400_000
+
+    asyncio.run(scenario())
+
+
 def test_refused_message_between_stewards_is_logged(tmp_path, monkeypatch):
     """Messages to a member were refused and sent again for good, and no log told of it."""
     emitted = []
