Answer every request that was begun ahead of its turn

Cause: whether a response closes its connection was decided when its request began to be served, without a look at the requests behind it that had been begun already.

Change: it is decided when the response's head is sent, and only the last response to a request that has been begun closes. Nothing is begun behind a request with ambiguous framing, whose response has to close. Server.ending tells a handler that is cancelled at the end of the grace period that it can still respond, pipelined requests included.

--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -88,6 +88,11 @@
             max(0.0, time.monotonic() - connection.last_data_at) if connection.last_data_at else 0.0
         )
 
+    @property
+    def caller_left(self) -> bool:
+        """Whether the connection of the request has ended."""
+        return self._connection.lost
+
     def header(self, name: str) -> str | None:
         """Returns the first value of a header, or None."""
         return wire.header(self.headers, name.lower().encode("ascii"))
@@ -165,12 +170,23 @@
         connection: Connection of the request.
         method: Method of the request.
         compressing: Whether the caller understands compressed JSON bodies.
+        is_stopping: Returns whether the connection is to be closed, since a stop has begun.
+        is_followed: Returns whether a later request of the connection has been begun already. The
+            connection then stays open until that one is answered.
     """
 
     def __init__(
-        self, connection: wire.Connection, method: str, *, compressing: bool = False
+        self,
+        connection: wire.Connection,
+        method: str,
+        *,
+        compressing: bool = False,
+        is_stopping: collections.abc.Callable[[], bool] = lambda: False,
+        is_followed: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
+        self._is_stopping = is_stopping
+        self._is_followed = is_followed
         self._head_only = method == "HEAD"
         self._compressing = compressing
         self.started = False
@@ -241,7 +257,7 @@
         self.status = status
 
     def _head(self, status: int, headers) -> h11.Response:
-        if self.close_after:
+        if (self.close_after or self._is_stopping()) and not self._is_followed():
             headers = [*headers, (b"connection", b"close")]
         reason = REASON_PHRASES.get(status, b"")
         return h11.Response(status_code=status, headers=list(headers), reason=reason)
@@ -430,8 +446,19 @@
         self._server: asyncio.Server | None = None
         self._task_by_connection: dict[wire.Connection, asyncio.Task[None]] = {}
         self._busy: set[wire.Connection] = set()
+        # Connections to close behind the last request that has been begun.
+        self._closing: set[wire.Connection] = set()
         self._draining = False
         self._keep_alive_disabled = False
+        self._ending = False
+
+    @property
+    def ending(self) -> bool:
+        """Whether the grace period of a stop is over, and requests still in flight are cut off.
+
+        A handler that is cancelled then can still respond.
+        """
+        return self._ending
 
     @property
     def connection_count(self) -> int:
@@ -488,6 +515,8 @@
         try:
             while await self._serve_one(connection, timeout):
                 timeout = self.limits.idle_timeout
+                if self._ending and not self._has_begun_ahead(connection):
+                    break
                 if self._draining and not connection.has_unread_data:
                     break
         except (errors.FlamingotillerError, asyncio.CancelledError):
@@ -498,6 +527,7 @@
                 self._on_handler_error(error, connection.peer)
         finally:
             self._busy.discard(connection)
+            self._closing.discard(connection)
             self._cancel_ahead(connection)
             connection.close()
 
@@ -514,14 +544,22 @@
             return False
         self._busy.add(connection)
         compressing = self._compresses and compression.is_accepted(head.headers)
-        reply = Reply(connection, head.method.decode("ascii"), compressing=compressing)
-        reply.close_after = self._draining or self._keep_alive_disabled
         ahead = self._pop_ahead(connection)
+        reply = Reply(
+            connection,
+            head.method.decode("ascii"),
+            compressing=compressing,
+            is_stopping=lambda: self._draining or self._keep_alive_disabled,
+            is_followed=lambda: self._has_begun_ahead(connection),
+        )
+        reply.close_after = connection in self._closing
         if ahead is not None:
             await self._finish_ahead(head, connection, reply, ahead)
         else:
             await self._handle(head, connection, reply)
         self._busy.discard(connection)
+        if reply.close_after:
+            self._closing.add(connection)
         if not reply.finished:
             connection.abort()
             return False
@@ -531,8 +569,8 @@
 
     def _look_ahead(self, connection: wire.Connection) -> None:
         """Begins requests that have arrived behind the one that is being served."""
-        stopping = self._draining or self._keep_alive_disabled
-        if connection not in self._busy or connection.h11.their_state is not h11.DONE or stopping:
+        closes = self._draining or self._keep_alive_disabled or connection in self._closing
+        if connection not in self._busy or connection.h11.their_state is not h11.DONE or closes:
             return
         unread = connection.h11.trailing_data[0]
         if not unread:
@@ -551,12 +589,16 @@
             # It is refused in its turn, where the caller can be answered.
             return None
         request.body_ended = True
-        if not self._may_run_ahead(request):
+        if not _is_framed(request) or not self._may_run_ahead(request):
             return None
         reply = DeferredReply()
         work = self._run_handler(request, reply)
         return _Ahead(asyncio.get_running_loop().create_task(work), reply)
 
+    def _has_begun_ahead(self, connection: wire.Connection) -> bool:
+        lookahead = self._lookahead_by_connection.get(connection)
+        return lookahead is not None and bool(lookahead.found)
+
     def _pop_ahead(self, connection: wire.Connection) -> pipelining.Found[_Ahead] | None:
         lookahead = self._lookahead_by_connection.get(connection)
         if lookahead is None:
@@ -586,6 +628,8 @@
                 raise errors.ProtocolError("requests are out of step", peer=connection.peer)
             self._look_ahead(connection)
             found.ticket.reply.take_turn(reply)
+            if self._ending:
+                found.ticket.task.cancel()
             await found.ticket.task
         finally:
             found.ticket.task.cancel()
@@ -604,7 +648,7 @@
             reply.close_after = True
             await send_error(reply, errors.InvalidInputError(str(error), step="read head"))
             return
-        if self._may_run_ahead and request.declared_length() == 0:
+        if self._may_run_ahead and request.declared_length() == 0 and _is_framed(request):
             # The end of a request without a body shows where the next one begins.
             await request.next_chunk()
             self._look_ahead(connection)
@@ -674,7 +718,10 @@
             connection.abort()
 
     async def close(self, grace: datetime.timedelta = clock.ZERO) -> None:
-        """Stops listening, waits up to ``grace`` for requests in flight, then cancels the rest."""
+        """Stops listening, waits up to ``grace`` for requests in flight, then cancels the rest.
+
+        The handler of a cancelled request may still respond (``ending``).
+        """
         # The event loop first accepts what the kernel has accepted, and reads what has arrived.
         for _ in range(ACCEPT_ROUNDS):
             await asyncio.sleep(0)
@@ -683,11 +730,21 @@
         tasks = list(self._task_by_connection.values())
         if tasks and grace > clock.ZERO:
             await asyncio.wait(tasks, timeout=grace.total_seconds())
+        self._ending = True
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _is_framed(request: Request) -> bool:
+    try:
+        check_framing(request)
+    except errors.FlamingotillerError:
+        # It is refused with this error in its turn.
+        return False
+    return True
+
+
 def check_framing(request: Request) -> None:
     """Checks that a request's framing is unambiguous, to prevent request smuggling.
 
