Take only requests that end before a planned stop does

What callers of a like system saw, and ours could: requests that came late in the grace period of a stop were passed on and cut off at its end without an answer, among them requests that may not be repeated.

Cause: neither a gateway nor an entry instance compared a request's deadline with the end of its own stop, and what was in flight at the end had its connection closed.

Change: planned_stop decides on both paths. A request whose deadline lies behind the end is refused at once as not run ("stopping", Retry-After 0): another instance serves it. One that may be repeated is still taken while callers hold look-ups that name the instance. The check is made when the request arrives, when its body is complete and when it has its token. What is in flight at the end is answered: 503 if it has not run, else 504.

--- a/flamingotiller/entry.py
+++ b/flamingotiller/entry.py
@@ -29,6 +29,7 @@
     kernel,
     lookup,
     membership,
+    planned_stop,
     request_path,
     server,
     settings,
@@ -87,6 +88,7 @@
         self._block_table_at_version: tuple[int, address_blocks.BlockTable] | None = None
         self.endpoint_pool = client.ConnectionPool()
         self.control = control_client.ControlClient(self.client, config.control, clk)
+        self.planned_stop = planned_stop.PlannedStop()
         self.feed = feed.Feed(config.instance, config.zone, configuration.Configuration(), clk)
 
     def server_limits(self) -> server.Limits:
@@ -212,6 +214,11 @@
 
     async def drain(self) -> None:
         """Leaves look-ups, releases the shards and serves until cached look-ups have expired."""
+        self.planned_stop.begin(
+            self.clock.monotonic(),
+            takes_all_for=self.config.lookup_lifetime,
+            ends_in=self.config.lookup_lifetime + self.config.stop_timeout,
+        )
         await self.gossip.announce_leaving()
         await self.shards.release_all()
         await asyncio.sleep(self.config.lookup_lifetime.total_seconds())
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -19,6 +19,7 @@
     errors,
     events,
     metrics,
+    planned_stop,
     quarantine,
     server,
     supervisor,
@@ -91,6 +92,9 @@
 # the margin, in which the process ends.
 SHUTDOWN_DELAY = clock.seconds(3.5)
 SHUTDOWN_MARGIN = clock.seconds(0.4)
+# Part of the delay in which requests that may be repeated are taken though they may last longer
+# than the stop; later ones are refused if they may.
+SHUTDOWN_TAKES_ALL_FOR = clock.seconds(2.5)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -161,6 +165,7 @@
         self.view = model.View()
         self.revision = 0
         self.stopping = False
+        self._planned_stop = planned_stop.PlannedStop()
         self.listening = ("", 0)
         self._dialect = dialect
         self._rng = rng
@@ -248,11 +253,15 @@
         self.stopping = True
         events.emit(events.STOP_BEGAN, signal="TERM", in_flight=self._server.request_count)
         self._server.disable_keep_alive()
+        duration = max(clock.ZERO, self.config.grace_period - SHUTDOWN_MARGIN)
         delay = min(SHUTDOWN_DELAY, self.config.grace_period / 2)
-        await asyncio.sleep(delay.total_seconds())
-        await self._server.close(
-            max(clock.ZERO, self.config.grace_period - delay - SHUTDOWN_MARGIN)
+        self._planned_stop.begin(
+            self.clock.monotonic(),
+            takes_all_for=min(SHUTDOWN_TAKES_ALL_FOR, delay),
+            ends_in=duration - forwarding.RESPONSE_GRACE,
         )
+        await asyncio.sleep(delay.total_seconds())
+        await self._server.close(max(clock.ZERO, duration - delay))
         unfinished = self._server.request_count
         await self._stack.aclose()
         events.emit(events.STOP_ENDED, in_flight=unfinished)
@@ -411,6 +420,9 @@
             reply.close_after = reply.close_after or not request.body_ended
             await self._refuse(reply, error, trace, dispatch_state)
         except asyncio.CancelledError:
+            if self._server.ending and reply.in_turn and not (request.caller_left or reply.started):
+                await self._refuse(reply, _cut_off(dispatch_state), trace, dispatch_state)
+                return
             events.emit(
                 events.CALLER_DISCONNECTED,
                 request_id=trace.request_id,
@@ -429,7 +441,9 @@
         route = self._find_route(request, trace)
         organisation = self._authenticate(request, route, trace)
         job = self._make_job(request, route, organisation, trace)
+        self._check_time_until_stop(job)
         await self._read_body(job)
+        self._check_time_until_stop(job)
         trace.fingerprint = job.fingerprint = _fingerprint(job)
         if self._paths.lost:
             response = await self._relay(job, dispatch_state, reply, trace)
@@ -440,6 +454,16 @@
             await reply.send(response.status, response.body, headers)
         self._record_served(job, reply.status, trace)
 
+    def _check_time_until_stop(self, job: forwarding.Job) -> None:
+        """Checks that a planned stop, if one has begun, will not cut a request off.
+
+        Raises:
+            errors.RefusedError: It might; another gateway can serve it at once.
+        """
+        now = self.clock.monotonic()
+        if not self._planned_stop.takes(job.deadline, now, may_repeat=job.route.idempotent):
+            raise _refused(503, "stopping", retry_after_s=0)
+
     async def _serve_here(
         self,
         job: forwarding.Job,
@@ -634,6 +658,7 @@
         Raises:
             errors.RefusedError: The request is no longer permitted as it was.
         """
+        self._check_time_until_stop(job)
         if self.revision != trace.revision:
             trace.revision = self.revision
             job.route = self._find_route(job.request, trace)
@@ -1187,6 +1212,12 @@
     return error
 
 
+def _cut_off(dispatch_state: dispatch.DispatchState) -> errors.RefusedError:
+    """Returns the refusal of a request that is still in flight at the end of a stop."""
+    not_run = dispatch_state.outcome is dispatch.Outcome.NOT_RUN
+    return _refused(503, "stopping", retry_after_s=0) if not_run else _refused(504, "stopping")
+
+
 def _failed_trial(
     job: forwarding.Job, dispatch_state: dispatch.DispatchState
 ) -> suspects.TrialOutcome:
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -57,6 +57,7 @@
             organisation, route = self._authorise(request)
             prepared = await self._prepare(request, organisation, route, request_id, started_at)
             request_id = prepared.request_id
+            self._check_time_until_stop(prepared)
             await self._claim_and_run(prepared, state, reply)
         except errors.RefusedError as error:
             result = error.code
@@ -65,6 +66,13 @@
                 raise
             reply.close_after = reply.close_after or not request.body_ended
             await dispatch.send_refusal(reply, error, state.outcome, request_id)
+        except asyncio.CancelledError:
+            if not self._process.server.ending or request.caller_left or reply.started:
+                raise
+            cut_off = _cut_off(state.outcome)
+            result = cut_off.code
+            self._count_refusal(organisation, cut_off, state)
+            await dispatch.send_refusal(reply, cut_off, state.outcome, request_id)
         finally:
             elapsed = self._process.clock.monotonic() - started_at
             self._process.metrics.count(
@@ -80,6 +88,17 @@
             outcome=state.outcome.value,
         )
 
+    def _check_time_until_stop(self, prepared: dispatch.PreparedRequest) -> None:
+        """Checks that a planned stop, if one has begun, will not cut a request off.
+
+        Raises:
+            errors.RefusedError: It might; another instance can serve it at once.
+        """
+        now = self._process.clock.monotonic()
+        may_repeat = prepared.route.idempotent
+        if not self._process.planned_stop.takes(prepared.deadline, now, may_repeat=may_repeat):
+            raise _cut_off(dispatch.Outcome.NOT_RUN)
+
     # Authentication and validation
 
     def _authorise(self, request: server.Request) -> tuple[str, contract.Route]:
@@ -438,6 +457,17 @@
         raise error
 
 
+def _cut_off(outcome: dispatch.Outcome) -> errors.RefusedError:
+    """Returns the refusal of a request that a planned stop would cut off, or has cut off."""
+    not_run = outcome is dispatch.Outcome.NOT_RUN
+    return errors.RefusedError(
+        "the instance is stopping",
+        status=503 if not_run else 504,
+        code="stopping",
+        retry_after_s=0 if not_run else None,
+    )
+
+
 def _key_from(request: server.Request) -> str | None:
     return request.header("flamingotiller-key") or daemon.bearer_token(request) or None
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -102,7 +102,7 @@
 # Modules without sockets, clock reads or use of the global random generator.
 PURE = {
     "address_blocks", "claims", "configuration", "contract", "lease", "limiter", "lookup",
-    "membership", "quarantine", "replica", "selection", "shift",
+    "membership", "planned_stop", "quarantine", "replica", "selection", "shift",
 }  # fmt: skip
 IMPURE_IMPORTS = {"asyncio", "socket", "time", "os", "h11", "threading", "subprocess"}
 SHELL = {"wire", "server", "client", "daemon", "entry", "control", "porcelain", "cli", "journal"}
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -547,6 +547,97 @@
     run(work())
 
 
+def stopping_harness(work_s, grace_s, **route_fields):
+    async def work(request):
+        await asyncio.sleep(work_s)
+        return make_response(request)
+
+    harness = GatewayHarness(FakeEndpoint(handler=work), routes=[make_route(**route_fields)])
+    harness.grace_s = grace_s
+    return harness
+
+
+async def stop_after(harness, pause_s):
+    """Begins a stop; returns its task after a pause."""
+    harness.gateway.config = dataclasses.replace(
+        harness.gateway.config, grace_period=clock.seconds(harness.grace_s)
+    )
+    stop = asyncio.ensure_future(harness.gateway.stop())
+    await asyncio.sleep(pause_s)
+    return stop
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "deadline_ms", "pause_s", "status"),
+    [
+        # A request that may outlast the stop is refused, so that another gateway serves it,
+        (False, 5000, 0.0, 503),
+        (True, 5000, 0.4, 503),
+        # unless it may be repeated and the stop has just begun, or it ends in time.
+        (True, 5000, 0.0, 200),
+        (False, 300, 0.4, 200),
+        (True, 300, 0.4, 200),
+    ],
+)
+def test_stopping_gateway_takes_only_requests_that_end_before_it_does(
+    monkeypatch, idempotent, deadline_ms, pause_s, status
+):
+    """Requests that came late in the grace period were taken, passed on and cut off at its end,
+    among them some that may not be repeated."""
+    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(0.8))
+    monkeypatch.setattr(gateway, "SHUTDOWN_TAKES_ALL_FOR", clock.seconds(0.2))
+
+    async def work():
+        async with stopping_harness(0.02, 2.0, idempotent=idempotent, timeout_s=5.0) as harness:
+            stop = await stop_after(harness, pause_s)
+            response = await harness.send(make_request(X_Deadline_Ms=str(deadline_ms)))
+            assert response.status == status
+            assert response.headers["connection"] == "close"
+            assert harness.run_count == (status == 200)
+            if status == 503:
+                assert float(response.headers["retry-after"]) == 0
+                assert b'"stopping"' in response.body
+                assert b'"not-run"' in response.body
+            await stop
+
+    run(work())
+
+
+def test_request_whose_body_arrives_late_in_a_stop_is_refused(monkeypatch):
+    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(0.5))
+    monkeypatch.setattr(gateway, "SHUTDOWN_TAKES_ALL_FOR", clock.seconds(0.1))
+
+    async def work():
+        async with stopping_harness(0.02, 2.0, timeout_s=5.0) as harness:
+            reader, writer = await harness.connect()
+            request = make_request(X_Deadline_Ms="5000", Content_Length="3")
+            writer.write(request.replace(b"GET ", b"POST ", 1))
+            await asyncio.sleep(0.05)
+            stop = await stop_after(harness, 0.2)
+            writer.write(b"abc")
+            assert (await read_message(reader)).status == 503
+            assert harness.run_count == 0
+            await stop
+
+    run(work())
+
+
+def test_request_still_in_flight_at_the_end_of_a_stop_is_answered(monkeypatch):
+    """The connection was closed without a response."""
+    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(0.1))
+
+    async def work():
+        async with stopping_harness(20, 0.8, timeout_s=8.0) as harness:
+            request = asyncio.ensure_future(harness.send(make_request(X_Deadline_Ms="8000")))
+            await harness.wait_until(lambda: harness.run_count == 1)
+            await (await stop_after(harness, 0))
+            response = await request
+            assert (response.status, response.headers["connection"]) == (504, "close")
+            assert b'"stopping"' in response.body
+
+    run(work())
+
+
 def test_requests_do_not_wait_for_a_branch_that_does_not_respond():
     """All stewards are lost: the first request waits for its draw, those of other organisations are
     refused at once."""
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -281,3 +281,32 @@
         assert harness.endpoint.requests[-1][1] == body
 
     run_scenario(scenario, monkeypatch)
+
+
+def test_stopping_entry_instance_cuts_off_no_request(monkeypatch):
+    """Requests that came late were taken and, like those in flight at the end, closed without a
+    response."""
+
+    async def scenario(harness):
+        harness.endpoint.connection_action = "stall"
+        harness.endpoint.response = b""
+        harness.entry.config = harness.entry.config.model_copy(
+            update={"stop_timeout": clock.seconds(0.3), "lookup_lifetime": clock.seconds(0.3)}
+        )
+        harness.entry.common_settings = harness.entry.config
+        in_flight = asyncio.ensure_future(harness.caller.send("POST", "/filings/1", b"x"))
+        await wait_until(lambda: len(harness.endpoint.requests) == 1)
+        stop = asyncio.ensure_future(harness.entry.stop())
+        await asyncio.sleep(0)
+        late = await harness.caller.send("POST", "/filings/2", b"x", instance=harness.entry.address)
+        assert (late.status, late.json()["error"], late.json()["outcome"]) == (
+            503, "stopping", "not-run",
+        )  # fmt: skip
+        await stop
+        response = await in_flight
+        assert (response.status, response.json()["error"], response.json()["outcome"]) == (
+            504, "stopping", "unknown",
+        )  # fmt: skip
+        assert len(harness.endpoint.requests) == 1
+
+    run_scenario(scenario, monkeypatch)
