Let a steward finish the calls in progress when it stops

Cause: the listeners of a steward, for operators, endpoints, look-ups and other stewards, were closed with a grace period of zero, so an order that was about to be committed got no answer.

Change: they wait up to a second, as long as callers wait.

Evidence: test_order_in_progress_is_answered_when_its_steward_stops.

--- a/flamingotiller/fleet/program.py
+++ b/flamingotiller/fleet/program.py
@@ -6,6 +6,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import datetime
 import pathlib
 import signal
 import typing
@@ -57,10 +58,12 @@
         program: The program.
         handler_by_address: Request handlers by the address to listen on; empty addresses are
             skipped.
+        stop_grace: How long a stop waits for requests that these handlers serve.
     """
 
     program: Program
-    handler_by_address: dict[str, server.Handler]
+    handler_by_address: collections.abc.Mapping[str, server.Handler]
+    stop_grace: datetime.timedelta = clock.ZERO
 
 
 @dataclasses.dataclass(frozen=True)
@@ -123,7 +126,7 @@
             handlers[f"{identity.host}:{metrics_port}"] = _metrics_handler(hosted.program)
         for address, handler in handlers.items():
             if address:
-                await _listen(address, handler, stack)
+                await _listen(address, handler, stack, hosted.stop_grace)
         events.emit(
             events.PROCESS_STARTED,
             role=identity.role,
@@ -137,7 +140,12 @@
         await stop.wait()
 
 
-async def _listen(address: str, handler: server.Handler, stack: contextlib.AsyncExitStack) -> None:
+async def _listen(
+    address: str,
+    handler: server.Handler,
+    stack: contextlib.AsyncExitStack,
+    stop_grace: datetime.timedelta,
+) -> None:
     host, _, port = address.rpartition(":")
     listener = server.Server(
         handler,
@@ -145,7 +153,7 @@
         on_handler_error=_log_handler_error,
     )
     await listener.start(host, int(port))
-    stack.push_async_callback(listener.close)
+    stack.push_async_callback(listener.close, stop_grace)
 
 
 def _metrics_handler(program: Program) -> server.Handler:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -50,6 +50,8 @@
 # Callers time out after one second and retry at another steward.
 DECISION_TIMEOUT = clock.seconds(0.9)
 FORWARD_TIMEOUT = clock.seconds(0.95)
+# A stop waits this long for orders in progress; their callers wait no longer.
+STOP_GRACE = clock.seconds(1)
 UPKEEP_INTERVAL = clock.seconds(0.25)
 # Delay before a change is sent to gateways, so that changes in quick succession share a response;
 # a small fraction of the time in which drains and configurations must take effect.
@@ -205,7 +207,7 @@
             bind_host = self.config.bind_host or self.config.host
             await self._server.start(bind_host, self.config.peer_port)
             stack.push_async_callback(self._supervisor.close)
-            stack.push_async_callback(self._server.close)
+            stack.push_async_callback(self._server.close, STOP_GRACE)
             self.log.start()
             self._supervisor.spawn("follower", self._follow)
             self._supervisor.spawn("upkeep", self._upkeep)
--- a/flamingotiller/platform/core.py
+++ b/flamingotiller/platform/core.py
@@ -51,6 +51,5 @@
     process = steward.Steward(settings(file), clk, random.SystemRandom())
     control, lookups = calls.ControlHandler(process), calls.LookupHandler(process)
     listen = file.listen()
-    return program.HostedProgram(
-        process, {listen.control: control.serve, listen.lookups: lookups.serve}
-    )
+    handler_by_address = {listen.control: control.serve, listen.lookups: lookups.serve}
+    return program.HostedProgram(process, handler_by_address, steward.STOP_GRACE)
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -271,6 +271,31 @@
     asyncio.run(scenario())
 
 
+def test_order_in_progress_is_answered_when_its_steward_stops(tmp_path):
+    """A stop closed the connections of orders and of other stewards' calls at once."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            await polling.wait_until(lambda: follower._leader_address() == leader.config.address)
+            begun = asyncio.Event()
+            propose = leader.log.propose
+
+            async def propose_slowly(*arguments):
+                begun.set()
+                await asyncio.sleep(0.1)
+                return await propose(*arguments)
+
+            leader.log.propose = propose_slowly
+            order = asyncio.ensure_future(follower.configure(update(1, 0)))
+            await begun.wait()
+            await cluster.stop(leader.config.host)
+            assert (await order).verdict == state.ACCEPTED
+
+    asyncio.run(scenario())
+
+
 def test_updates_go_on_after_each_disk_in_turn_was_full(tmp_path):
     """Operators of a like system saw updates refused long after the last disk had room again."""
 
