Reset connections of requests that are given up; tell a request's age

Cause: a client's connection was closed, not reset, so the kernel kept sending.

Change: it is reset during an exchange; idle connections are closed as before. A server with a clock notes every 50 ms that its event loop runs, so a request tells after which time it arrived, at the latest before a pause of the process.

--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -30,6 +30,10 @@
 }  # fmt: skip
 
 
+# Interval at which a server notes that the event loop runs.
+LOOP_CHECK_INTERVAL = clock.seconds(0.05)
+# A longer time without a check is a pause of the process.
+MIN_PAUSE = clock.seconds(1)
 # Rounds of the event loop in which a new connection is accepted, opened and read.
 ACCEPT_ROUNDS = 10
 
@@ -67,6 +71,8 @@
         peer: Address of the peer.
         body_ended: Whether the whole body has been read.
         buffered_s: Seconds between the last data from the peer and the reading of the head.
+        arrived_after: Monotonic time after which the request arrived, at the latest before a pause
+            of the process. None if the server has no clock.
     """
 
     def __init__(self, head: h11.Request, connection: wire.Connection, limits: Limits) -> None:
@@ -79,6 +85,7 @@
         self.query = dict(urllib.parse.parse_qsl(split.query))
         self.headers = list(head.headers)
         self.peer = connection.peer
+        self.arrived_after = connection.arrived_after
         self._connection = connection
         self._limits = limits
         self._received = 0
@@ -426,6 +433,7 @@
         may_run_ahead: Returns whether a request may be served while an earlier one of its
             connection is; its caller may send it again if the earlier response closes the
             connection. None to serve all in turn.
+        clk: Clock by which requests tell after which time they arrived; None if no handler asks.
     """
 
     def __init__(
@@ -436,7 +444,14 @@
         on_handler_error: collections.abc.Callable[[BaseException, str], None] | None = None,
         compresses: bool = False,
         may_run_ahead: collections.abc.Callable[[Request], bool] | None = None,
+        clk: clock.Clock | None = None,
     ) -> None:
+        self._clock = clk
+        # Times of the last two checks that the event loop runs. Data that is read now had not
+        # arrived at the earlier one: the loop has looked for data between the two.
+        self._loop_ran_at = (clock.ZERO, clock.ZERO)
+        self._loop_check: asyncio.TimerHandle | None = None
+        self._resumed_at = clock.ZERO
         self._compresses = compresses
         self._may_run_ahead = may_run_ahead
         self._lookahead_by_connection: dict[wire.Connection, pipelining.Lookahead[_Ahead]] = {}
@@ -486,14 +501,34 @@
             raise errors.SettingsError(
                 f"cannot listen on {host}:{port}: {error.strerror}", step="listen"
             ) from error
+        if self._clock is not None:
+            now = self._clock.monotonic()
+            self._loop_ran_at = (now, now)
+            self._check_loop(self._clock)
         return self._server.sockets[0].getsockname()[1]
 
+    def _check_loop(self, clk: clock.Clock) -> None:
+        now = clk.monotonic()
+        self._resumed_at = self.resumed_at(now)
+        self._loop_ran_at = (self._loop_ran_at[1], now)
+        self._loop_check = asyncio.get_running_loop().call_later(
+            LOOP_CHECK_INTERVAL.total_seconds(), self._check_loop, clk
+        )
+
+    def resumed_at(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns the end of the latest pause of the process, zero if there was none.
+
+        Only for a server with a clock, whose time ``now`` is.
+        """
+        return now if now - self._loop_ran_at[1] > MIN_PAUSE else self._resumed_at
+
     def _make_connection(self) -> wire.Connection:
         return wire.Connection(
             h11.SERVER,
             on_open=self._on_connection_open,
             on_lost=self._on_connection_lost,
             on_data=self._look_ahead if self._may_run_ahead else None,
+            read_after=(lambda: self._loop_ran_at[0]) if self._clock is not None else None,
         )
 
     def _on_connection_open(self, connection: wire.Connection) -> None:
@@ -710,6 +745,8 @@
         """Stops accepting connections."""
         if self._server:
             self._server.close()
+        if self._loop_check:
+            self._loop_check.cancel()
 
     def abort(self) -> None:
         """Stops listening and aborts every connection, as if the process had crashed."""
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -53,12 +53,16 @@
         on_open: Called with the connection once the transport is connected.
         on_lost: Called once when the peer closes or the connection breaks.
         on_data: Called with the connection after data has arrived.
+        read_after: Returns a monotonic time before which data that is read now cannot have arrived.
+            None if that is not needed.
 
     Attributes:
         lost: Whether the connection has ended.
         broken: Whether the connection ended with an error rather than an orderly close.
         last_data_at: Time of the last data from the peer, in seconds of ``time.monotonic``; 0
             before any data.
+        arrived_after: What ``read_after`` returned for the first data that no task has waited for
+            yet; None before any data.
         idle: Whether the connection waits in a pool. Data that arrives then belongs to no request
             and closes it.
         refused_id: Id of the last request that the peer refused on this connection, empty if none.
@@ -74,12 +78,14 @@
         on_open: collections.abc.Callable[[Connection], None] | None = None,
         on_lost: collections.abc.Callable[[Connection], None] | None = None,
         on_data: collections.abc.Callable[[Connection], None] | None = None,
+        read_after: collections.abc.Callable[[], datetime.timedelta] | None = None,
     ) -> None:
         self.h11 = h11.Connection(our_role=role, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.peer = ""
         self.lost = False
         self.broken = False
         self.last_data_at = 0.0
+        self.arrived_after: datetime.timedelta | None = None
         self.idle = False
         self.idle_until = math.inf
         self.refused_id = ""
@@ -88,6 +94,7 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._on_data = on_data
+        self._read_after = read_after
         self._transport: asyncio.Transport | None = None
         self._unread_bytes = 0
         self._read_paused = False
@@ -123,6 +130,8 @@
         if self.idle:
             self.abort()
             return
+        if self._read_after and not self._unread_bytes:
+            self.arrived_after = self._read_after()
         self.h11.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > READ_HIGH_WATER_BYTES and not self._read_paused:
@@ -246,16 +255,27 @@
     def abort(self) -> None:
         """Closes the connection immediately, so that a partial message cannot look complete.
 
-        A server resets it: a message without a length ends with an orderly close.
+        A server resets it: a message without a length ends with an orderly close. A client resets
+        it during an exchange: otherwise the kernel would go on sending a request that was given up,
+        and the peer might run it much later.
         """
         if not self._transport:
             return
         sock = self._transport.get_extra_info("socket")
-        if self.h11.our_role is h11.SERVER and sock is not None:
+        if sock is not None and (self.h11.our_role is h11.SERVER or self._is_in_exchange()):
             with contextlib.suppress(OSError):  # the peer may have closed it already
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self._transport.abort()
 
+    def _is_in_exchange(self) -> bool:
+        """Returns whether a client has begun a request and has not read the whole response."""
+        return self.h11.our_state is not h11.IDLE and self.h11.their_state in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+            h11.SEND_BODY,
+            h11.ERROR,
+        )
+
 
 def _expire(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -110,3 +110,39 @@
 def test_response_that_is_not_json_is_a_protocol_error():
     with pytest.raises(errors.ProtocolError):
         client.raise_for_status(client.Response(200, [], b"<html>"), step="s", peer="p")
+
+
+@pytest.mark.parametrize("in_exchange", [True, False])
+def test_connection_of_a_request_that_is_given_up_is_reset(in_exchange):
+    """The kernel went on sending it, and an endpoint behind a cut ran it when the cut ended."""
+
+    async def scenario():
+        ends = []
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n{}" % (9 if in_exchange else 2)
+            )
+            try:
+                ends.append(await reader.read())
+            except ConnectionResetError as error:
+                ends.append(error)
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        peer = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}"
+        pool = client.ConnectionPool()
+        call = client.Client(pool).call(peer, "POST", "/", {}, timeout=clock.seconds(0.2))
+        if in_exchange:
+            with pytest.raises(errors.ExchangeTimeoutError):
+                await call
+        else:
+            await call
+        await pool.close()
+        while not ends:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        assert isinstance(ends[0], ConnectionResetError) if in_exchange else ends == [b"{}"]
+        listener.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -245,3 +245,36 @@
             assert early.recv(1000).startswith(b"HTTP/1.1 200")
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_request_tells_that_it_may_have_arrived_before_a_pause_of_the_process():
+    """A process that wakes from a freeze reads requests whose senders have gone long ago."""
+
+    async def scenario():
+        clk = clock.ManualClock(clock.seconds(100))
+        arrivals = []
+
+        async def handle(request, reply):
+            arrivals.append(request.arrived_after)
+            await reply.json(200, {})
+
+        http_server = server.Server(handle, clk=clk)
+        port = await http_server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for _ in range(2):
+            # The data waits while the process pauses: time passes, but the event loop does not run.
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            paused_at = clk.monotonic()
+            clk.advance(clock.seconds(6))
+            await reader.readuntil(b"{}")
+            assert arrivals[-1] <= paused_at
+            # The loop runs again for a while before the next request.
+            for _ in range(3):
+                await asyncio.sleep(server.LOOP_CHECK_INTERVAL.total_seconds())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"{}")
+        assert arrivals[-1] == clk.monotonic()
+        writer.close()
+        await http_server.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
