Carry out orders only while their callers wait

Cause: evacuations, and departures that name no lifetime, carry nothing that puts them in their place among others, and were carried out whenever they were read: from the kernel's buffer after a freeze, from a connection whose sender had gone, from a queue while the disk was full, or from a call that the leader read late.

Change: such an order enters the log only while its caller can still wait for it. Its age counts from before any pause of the process; the end of its connection is waited for; the leader is asked for its time, and the order expires by the leader's own clock. A leader of an earlier build, which tells no time, gets orders as before. Control instances refuse changes of contracts, drains and members that may have waited for more than 5 s. Configurations, reports and departures with a lifetime are ordered by their version, sequence and start, changes by their id.

A leader that had been suspended removed every endpoint as silent, since it could not receive their reports meanwhile. Silence is not counted from before the end of a pause.

--- a/flamingotiller/control_routes.py
+++ b/flamingotiller/control_routes.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from flamingotiller import (
+    clock,
     configuration,
     control,
     errors,
@@ -65,6 +66,9 @@
     address: settings.Address | None = None
 
 
+# Operators and entry instances send a change again, or give it up, when it is older.
+MAX_ORDER_AGE = clock.seconds(5)
+
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
 
 
@@ -146,7 +150,22 @@
     await _propose_change(process, "entry", request, reply, allowed_prefix="quarantine/")
 
 
+def _require_recent(process: control.ControlInstance, request: server.Request) -> None:
+    """Checks that a request cannot have waited here, for example while the process was suspended,
+    until after its sender gave it up and sent another one elsewhere.
+
+    Raises:
+        errors.UnavailableError: It may have.
+    """
+    age = process.clock.monotonic() - (request.arrived_after or process.clock.monotonic())
+    if age > MAX_ORDER_AGE:
+        raise errors.UnavailableError(
+            "the request has waited for too long; send it again", step="order", peer=request.peer
+        )
+
+
 async def _propose_change(process, who, request, reply, allowed_prefix: str = "") -> None:
+    _require_recent(process, request)
     body = await read_model(ChangeRequest, request)
     if not body.subject.startswith(allowed_prefix):
         raise errors.InvalidInputError(
@@ -292,6 +311,7 @@
     """Adds a learner, promotes a caught-up learner to a voter, in place of the identity that its
     instance had before it lost its disk, or removes a member."""
     process.require_operator(request)
+    _require_recent(process, request)
     body = await read_model(MemberRequest, request)
     await process.change_members(lambda members: _apply_member_request(members, body))
     await reply.json(200, process.replica.members.to_wire())
--- a/flamingotiller/daemon.py
+++ b/flamingotiller/daemon.py
@@ -58,7 +58,10 @@
         self._routes = routes
         self._supervisor = supervisor.Supervisor()
         self.server = server.Server(
-            self.handle, limits=self.server_limits(), on_handler_error=self._log_handler_fault
+            self.handle,
+            limits=self.server_limits(),
+            on_handler_error=self._log_handler_fault,
+            clk=clk,
         )
 
     def server_limits(self) -> server.Limits:
--- a/flamingotiller/fleet/program.py
+++ b/flamingotiller/fleet/program.py
@@ -126,7 +126,7 @@
             handlers[f"{identity.host}:{metrics_port}"] = _metrics_handler(hosted.program)
         for address, handler in handlers.items():
             if address:
-                await _listen(address, handler, stack, hosted.stop_grace)
+                await _listen(address, handler, stack, hosted.stop_grace, clk)
         events.emit(
             events.PROCESS_STARTED,
             role=identity.role,
@@ -145,12 +145,14 @@
     handler: server.Handler,
     stack: contextlib.AsyncExitStack,
     stop_grace: datetime.timedelta,
+    clk: clock.Clock,
 ) -> None:
     host, _, port = address.rpartition(":")
     listener = server.Server(
         handler,
         limits=server.Limits(body_bytes=MAX_BODY_BYTES),
         on_handler_error=_log_handler_error,
+        clk=clk,
     )
     await listener.start(host, int(port))
     stack.push_async_callback(listener.close, stop_grace)
--- a/flamingotiller/fleet/registry.py
+++ b/flamingotiller/fleet/registry.py
@@ -66,6 +66,10 @@
             return Effect.CHANGE
         return Effect.RENEWAL
 
+    def count_silence_from(self, start: datetime.timedelta) -> None:
+        """Counts no silence from before a time, when reports could not be received."""
+        self._started_at = max(self._started_at, start)
+
     def renew(self, ids: collections.abc.Iterable[str], now: datetime.timedelta) -> None:
         """Records that endpoints have reported to another steward without a change."""
         self._reported_at_by_id.update(dict.fromkeys(ids, now))
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
 import dataclasses
 import datetime
@@ -52,6 +53,11 @@
 FORWARD_TIMEOUT = clock.seconds(0.95)
 # A stop waits this long for orders in progress; their callers wait no longer.
 STOP_GRACE = clock.seconds(1)
+# A caller without an answer after a second gives its order, or another one, to another steward. An
+# order that nothing else puts in its place does not enter the log later than this.
+ORDER_LIFETIME = clock.seconds(0.9)
+# The end of a connection follows an order within this time if its caller gave up before it arrived.
+CALLER_CHECK_TIME = clock.seconds(0.1)
 UPKEEP_INTERVAL = clock.seconds(0.25)
 # Delay before a change is sent to gateways, so that changes in quick succession share a response;
 # a small fraction of the time in which drains and configurations must take effect.
@@ -155,8 +161,10 @@
         self._pool = client.ConnectionPool()
         self._client = client.Client(self._pool)
         self._server = server.Server(
-            self._serve_peer, on_handler_error=_log_handler_error, compresses=True
+            self._serve_peer, on_handler_error=_log_handler_error, compresses=True, clk=clk
         )
+        # Tells leaders' clocks apart; a process that starts again has another one.
+        self._process_id = secrets.token_hex(8)
         self._state_changed = asyncio.Event()
         self._gateway_list = presence.EMPTY_GATEWAY_LIST
         self._local_gateways = presence.GatewayPresence((), clk.monotonic())
@@ -398,6 +406,8 @@
     async def _remove_silent_endpoints(
         self, leader_state: _LeaderState, now: datetime.timedelta
     ) -> None:
+        # Endpoints could not be heard while this process was suspended.
+        leader_state.registry.count_silence_from(self._server.resumed_at(now))
         for endpoint in leader_state.registry.silent(self.state, now):
             command = {
                 "kind": "leave",
@@ -770,10 +780,62 @@
         response = await self._client.call(leader, "POST", "/v1/execute", body, timeout=timeout)
         return client.raise_for_status(response, step=operation, peer=leader)
 
-    async def _propose(self, command: typing.Any) -> dict[str, typing.Any]:
-        result = await self.log.propose(command, DECISION_TIMEOUT)
+    async def _propose(
+        self, command: typing.Any, expires_at: datetime.timedelta | None = None
+    ) -> dict[str, typing.Any]:
+        result = await self.log.propose(command, DECISION_TIMEOUT, expires_at)
         return dataclasses.asdict(result)
 
+    async def _propose_in_time(
+        self, command: typing.Any, arrived_after: datetime.timedelta | None
+    ) -> dict[str, typing.Any]:
+        """Proposes a command that neither a version nor a sequence puts in its place among others.
+
+        It has to enter the log while its caller waits: a caller that has given up may have given
+        the opposite order to another steward since, and that may have been acknowledged.
+
+        Args:
+            command: The command.
+            arrived_after: Monotonic time after which it arrived here, None if it was not received.
+
+        Raises:
+            errors.UnavailableError: It is too late, or no leader could be asked in time.
+        """
+        now = self.clock.monotonic()
+        expires_at = (now if arrived_after is None else arrived_after) + ORDER_LIFETIME
+        # If the caller has gone, this is cancelled meanwhile.
+        await asyncio.sleep(CALLER_CHECK_TIME.total_seconds())
+        if self.log.is_leader:
+            return await self._propose(command, expires_at)
+        try:
+            leader = await self._execute("clock", None)
+        except errors.InvalidInputError:
+            # A leader of an earlier build does not tell its time.
+            self._require_before(expires_at)
+            return await self._execute("propose", command)
+        # The leader's clock showed its answer's time at the latest now.
+        leader_expires_at = clock.seconds(leader["now_s"]) + expires_at - self.clock.monotonic()
+        arguments = {
+            "command": command,
+            "process": leader["process"],
+            "expires_s": leader_expires_at.total_seconds(),
+        }
+        return await self._execute("order", arguments)
+
+    def _require_before(self, expires_at: datetime.timedelta) -> None:
+        if self.clock.monotonic() > expires_at:
+            raise errors.UnavailableError("the order has waited for too long", step="order")
+
+    async def _tell_time(self, arguments: typing.Any) -> typing.Any:
+        """Returns this process's monotonic time, for orders that expire."""
+        return {"process": self._process_id, "now_s": self.clock.monotonic().total_seconds()}
+
+    async def _order(self, arguments: typing.Any) -> typing.Any:
+        """Proposes a command unless it has expired by this leader's clock."""
+        if arguments["process"] != self._process_id:
+            raise errors.UnavailableError("the order was timed by another leader", step="order")
+        return await self._propose(arguments["command"], clock.seconds(arguments["expires_s"]))
+
     async def configure(self, update: ConfigurationUpdate) -> state.Result:
         """Replaces the configuration.
 
@@ -787,7 +849,8 @@
             if update.base > self.state.version
             else ("propose", self._configure_command(update))
         )
-        return await self._execute_order("configure", str(update.version), operation, arguments)
+        work = self._execute(operation, arguments)
+        return await self._decide_order("configure", str(update.version), work)
 
     async def _wait_for_version(self, version: int) -> None:
         """Waits for a moment until a version has been applied here."""
@@ -820,18 +883,30 @@
             await self.log.confirm(DECISION_TIMEOUT)
         return await self._propose(self._configure_command(update))
 
-    async def evacuate(self, zone: str, active: bool) -> state.Result:
-        """Begins or ends the evacuation of an availability zone; raises as ``configure`` does."""
+    async def evacuate(
+        self, zone: str, active: bool, arrived_after: datetime.timedelta | None = None
+    ) -> state.Result:
+        """Begins or ends the evacuation of an availability zone; raises as ``configure`` does.
+
+        Args:
+            zone: The zone.
+            active: Whether the evacuation begins.
+            arrived_after: Monotonic time after which the order arrived, None if it was not
+                received. An order that may have waited for too long is refused.
+        """
         command = {"kind": "evacuate", "zone": zone, "active": active}
-        return await self._execute_order(
-            "evacuate" if active else "take back", zone, "propose", command
-        )
+        work = self._propose_in_time(command, arrived_after)
+        return await self._decide_order("evacuate" if active else "take back", zone, work)
 
-    async def _execute_order(
-        self, order: str, subject: str, operation: str, arguments: typing.Any
+    async def _decide_order(
+        self,
+        order: str,
+        subject: str,
+        work: collections.abc.Awaitable[dict[str, typing.Any]],
     ) -> state.Result:
+        """Waits for the outcome of an order and logs it."""
         try:
-            result = state.Result(**await self._execute(operation, arguments))
+            result = state.Result(**await work)
         except errors.FlamingotillerError as error:
             events.emit(events.ORDER_UNDECIDED, order=order, subject=subject, error=str(error))
             raise
@@ -896,9 +971,22 @@
             )
         return {}
 
-    async def leave(self, id_: str, born_ms: int | None) -> None:
-        """Records an endpoint's departure; raises as ``report`` does."""
-        await self._execute("leave", [id_, born_ms])
+    async def leave(
+        self, id_: str, born_ms: int | None, arrived_after: datetime.timedelta | None = None
+    ) -> None:
+        """Records an endpoint's departure; raises as ``report`` does.
+
+        Args:
+            id_: Id of the endpoint.
+            born_ms: Start of the lifetime that ends, None if it was not sent.
+            arrived_after: As for ``evacuate``; counts if the lifetime was not sent.
+        """
+        if born_ms is not None:
+            await self._execute("leave", [id_, born_ms])
+            return
+        command = {"kind": "leave", "id": id_, "born_ms": None, "silent": False}
+        result = state.Result(**await self._propose_in_time(command, arrived_after))
+        events.emit(events.ENDPOINT_LEFT, endpoint=id_, service="", reason=result.verdict)
 
     async def _leave(self, arguments: typing.Any) -> typing.Any:
         id_, born_ms = arguments
@@ -954,8 +1042,12 @@
     "POST /v1/trial": Steward._on_trial,
     "POST /v1/trial-outcome": Steward._on_trial_outcome,
 }
-_OPERATIONS = {
+_OPERATIONS: dict[
+    str, collections.abc.Callable[[Steward, typing.Any], collections.abc.Awaitable[typing.Any]]
+] = {
     "propose": Steward._propose,
+    "clock": Steward._tell_time,
+    "order": Steward._order,
     "configure": Steward._configure,
     "read": Steward._read,
     "report": Steward._report,
--- a/flamingotiller/log_task.py
+++ b/flamingotiller/log_task.py
@@ -220,9 +220,19 @@
         received = self._assembler.add(part)
         return await self.receive(*received) if received is not None else []
 
-    async def propose(self, command: typing.Any, timeout: datetime.timedelta) -> typing.Any:
+    async def propose(
+        self,
+        command: typing.Any,
+        timeout: datetime.timedelta,
+        expires_at: datetime.timedelta | None = None,
+    ) -> typing.Any:
         """Proposes a command and returns the result of applying it once it is committed.
 
+        Args:
+            command: The command.
+            timeout: How long to wait for the commit. The command is not appended later than that.
+            expires_at: Monotonic time after which it is not appended either, None for no other.
+
         Raises:
             errors.NotLeaderError: This replica is not the leader, or lost leadership before the
                 command was committed; whether it takes effect is not known.
@@ -230,7 +240,7 @@
             errors.StorageError: The journal could not be written; the command may still take
                 effect.
         """
-        return await self._submit(command, timeout, is_members=False)
+        return await self._submit(command, timeout, expires_at, is_members=False)
 
     async def change_members(self, change: MembersChange, timeout: datetime.timedelta) -> None:
         """Proposes a membership; raises as ``propose`` and ``replica.propose_members`` do.
@@ -239,13 +249,19 @@
             change: Returns the new membership for the one in force.
             timeout: How long to wait for the commit.
         """
-        await self._submit(change, timeout, is_members=True)
+        await self._submit(change, timeout, None, is_members=True)
 
     async def _submit(
-        self, command: typing.Any, timeout: datetime.timedelta, *, is_members: bool
+        self,
+        command: typing.Any,
+        timeout: datetime.timedelta,
+        expires_at: datetime.timedelta | None,
+        *,
+        is_members: bool,
     ) -> typing.Any:
         future = asyncio.get_running_loop().create_future()
-        expires_at = self._clock.monotonic() + timeout
+        gives_up_at = self._clock.monotonic() + timeout
+        expires_at = gives_up_at if expires_at is None else min(expires_at, gives_up_at)
         await self._inbox.put(Proposal(command, future, expires_at, is_members))
         try:
             async with asyncio.timeout(timeout.total_seconds()):
--- a/flamingotiller/platform/calls.py
+++ b/flamingotiller/platform/calls.py
@@ -62,13 +62,15 @@
     async def _begin_evacuation(
         self, request: server.Request, body: bytes
     ) -> tuple[int, typing.Any]:
-        await self._steward.evacuate(self._requested_zone(request), True)
+        zone = self._requested_zone(request)
+        await self._steward.evacuate(zone, True, request.arrived_after)
         return 200, {}
 
     async def _finish_evacuation(
         self, request: server.Request, body: bytes
     ) -> tuple[int, typing.Any]:
-        await self._steward.evacuate(self._requested_zone(request), False)
+        zone = self._requested_zone(request)
+        await self._steward.evacuate(zone, False, request.arrived_after)
         return 200, {}
 
     def _requested_zone(self, request: server.Request) -> str:
@@ -84,7 +86,7 @@
 
     async def _leave(self, request: server.Request, body: bytes) -> tuple[int, typing.Any]:
         message = messages.decode(body or b"{}", messages.LeaveMessage, "leave")
-        await self._steward.leave(_endpoint_id(request), message.born)
+        await self._steward.leave(_endpoint_id(request), message.born, request.arrived_after)
         return 200, {}
 
 
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -12,6 +12,7 @@
 
 from flamingotiller import clock, errors, events, journal, log_task, server
 from flamingotiller.fleet import model, state, steward
+from flamingotiller.platform import calls
 
 StewardCluster = steward_cluster.StewardCluster
 
@@ -271,6 +272,151 @@
     asyncio.run(scenario())
 
 
+def long_ago(node):
+    return node.clock.monotonic() - clock.seconds(5)
+
+
+def test_order_that_has_waited_for_too_long_is_not_carried_out(tmp_path):
+    """A steward that woke from a freeze withdrew an evacuation that had been begun anew and
+    acknowledged elsewhere meanwhile; the zone got requests again, for good."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.report(model.Endpoint("e", 1, 1, "s", "x:1", "a", 4)))
+            await cluster.retry(lambda n: n.evacuate("a", True, n.clock.monotonic()))
+            for node in cluster.by_host.values():
+                with pytest.raises(errors.UnavailableError):
+                    await node.evacuate("a", False, long_ago(node))
+                # A departure that names no lifetime has no place among others either.
+                with pytest.raises(errors.UnavailableError):
+                    await node.leave("e", None, long_ago(node))
+            await cluster.retry(lambda n: n.configure(update(1, 0)))
+            for node in cluster.by_host.values():
+                await polling.wait_until(lambda n=node: n.state.version == 1)
+                assert "evacuation/a" in node.state.table.item_by_subject
+                assert node.state.endpoint("e") is not None
+            await cluster.retry(lambda n: n.evacuate("a", False, n.clock.monotonic()))
+            await cluster.retry(lambda n: n.leave("e", None, n.clock.monotonic()))
+            assert cluster.leaders()[0].state.endpoint("e") is None
+
+    asyncio.run(scenario())
+
+
+def test_order_that_reaches_the_leader_too_late_is_not_carried_out(tmp_path):
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            command = {"kind": "evacuate", "zone": "a", "active": True}
+            now_s = (await leader._tell_time(None))["now_s"]
+            body = {"command": command, "process": leader._process_id, "expires_s": now_s - 0.1}
+            with pytest.raises(errors.UnavailableError):
+                await leader._order(body)
+            # A leader that has started again may have another clock.
+            with pytest.raises(errors.UnavailableError):
+                await leader._order({**body, "process": "other", "expires_s": now_s + 60})
+            assert "evacuation/a" not in leader.state.table.item_by_subject
+            await leader._order({**body, "expires_s": now_s + 60})
+            assert "evacuation/a" in leader.state.table.item_by_subject
+
+    asyncio.run(scenario())
+
+
+def test_leader_of_an_earlier_build_gets_orders_as_before(tmp_path, monkeypatch):
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            await polling.wait_until(lambda: follower._leader_address() == leader.config.address)
+            monkeypatch.delitem(steward._OPERATIONS, "clock")
+            monkeypatch.delitem(steward._OPERATIONS, "order")
+            await follower.evacuate("a", True, follower.clock.monotonic())
+            assert "evacuation/a" in leader.state.table.item_by_subject
+
+    asyncio.run(scenario())
+
+
+def test_order_whose_sender_has_gone_is_not_carried_out(tmp_path):
+    """Its bytes and the end of its connection arrive together, as after a cut."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path, region_by_zone={"a": "r"}) as cluster:
+            node = await cluster.wait_for_voters(3)
+            listener = server.Server(calls.ControlHandler(node).serve, clk=node.clock)
+            port = await listener.start("127.0.0.1", 0)
+            for end_together in (True, False):
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(
+                    b"POST /rpc?call=evacuations.begin&of=a HTTP/1.1\r\nHost: h\r\n"
+                    b"Content-Length: 0\r\n\r\n"
+                )
+                if not end_together:
+                    await asyncio.sleep(steward.CALLER_CHECK_TIME.total_seconds() / 2)
+                writer.close()
+                await asyncio.sleep(3 * steward.CALLER_CHECK_TIME.total_seconds())
+                await node.configure(update(node.state.version + 1, node.state.version))
+                assert "evacuation/a" not in node.state.table.item_by_subject
+            await listener.close()
+
+    asyncio.run(scenario())
+
+
+def test_order_that_waited_for_a_full_disk_is_not_carried_out_later(tmp_path, monkeypatch):
+    monkeypatch.setattr(steward, "DECISION_TIMEOUT", clock.seconds(0.1))
+
+    async def scenario():
+        async with StewardCluster(tmp_path, count=1, seeds=1) as cluster:
+            node = await cluster.wait_for_voters(1)
+            await cluster.retry(lambda n: n.configure(update(1, 0)))
+            store = node.log.replica.store
+
+            def fail():
+                raise errors.SyncFailedError("no space left", step="sync")
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(store, "sync", fail)
+                patch.setattr(store, "rewrite", fail)
+                with pytest.raises(errors.StorageError):
+                    await node.log.propose(
+                        {"kind": "locate", "identity": "n", "zone": "z"}, clock.seconds(1)
+                    )
+                with pytest.raises(errors.UnavailableError):
+                    await node._propose({"kind": "evacuate", "zone": "a", "active": True})
+            await cluster.retry(lambda n: n.configure(update(2, 1)))
+            assert "evacuation/a" not in node.state.table.item_by_subject
+
+    asyncio.run(scenario())
+
+
+class JumpingClock(clock.SystemClock):
+    """Clock that can jump forward, as after the process was suspended."""
+
+    offset = clock.ZERO
+
+    def monotonic(self):
+        return super().monotonic() + self.offset
+
+
+def test_leader_that_was_suspended_takes_no_endpoint_for_silent(tmp_path, monkeypatch):
+    """It had received no reports while it was suspended, and removed every endpoint."""
+    jumping_clock = JumpingClock()
+    monkeypatch.setattr(clock, "SystemClock", lambda: jumping_clock)
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            await cluster.wait_for_voters(3)
+            await cluster.retry(lambda n: n.report(model.Endpoint("e", 1, 1, "s", "x:1", "a", 4)))
+            for _ in range(3):
+                # All stewards are suspended for longer than an endpoint may be silent.
+                jumping_clock.offset += clock.seconds(30)
+                await cluster.retry(lambda n: n.read_configuration())
+                await asyncio.sleep(0.3)
+                for node in cluster.by_host.values():
+                    assert node.state.endpoint("e") is not None
+
+    asyncio.run(scenario())
+
+
 def test_order_in_progress_is_answered_when_its_steward_stops(tmp_path):
     """A stop closed the connections of orders and of other stewards' calls at once."""
 
