Remember departed sessions of endpoints at entry instances

Cause: a departure named its session, but only the endpoint's name was looked at, and nothing was recorded unless the endpoint was known. A departure that had been acknowledged was undone by a late announcement of the same session once the lease had run out, and a late departure took the next session out of use.

Change: the queue of a service remembers the sessions that have left, up to 10,000; a departure counts for its own session only. An operator's drain is a thing of its own and ends with the next announcement after it is cancelled.

What remains: a new holder of the shard does not know departures from before.

--- a/flamingotiller/selection.py
+++ b/flamingotiller/selection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import abc
+import collections
 import dataclasses
 import datetime
 import heapq
@@ -16,6 +17,8 @@
 
 from flamingotiller import clock, kernel, shift
 
+# Departed sessions of endpoints that a queue remembers.
+MAX_DEPARTURES = 10_000
 SLOW_START = clock.seconds(2)
 SPILL_RAMP = shift.RampPolicy(interval=clock.seconds(1), fraction=0.25, minimum=1.0)
 SHED_PAUSE = clock.seconds(0.05)
@@ -204,6 +207,8 @@
         self._spill_ramp: shift.Ramp | None = None
         self._displaced: list[Waiter] = []
         self._inherited_by_name: dict[str, int] = {}
+        # Names and sessions of endpoints that have left, oldest first.
+        self._departures: collections.OrderedDict[tuple[str, str], None] = collections.OrderedDict()
 
     def waiters(self) -> list[Waiter]:
         """Returns the waiting requests."""
@@ -230,22 +235,39 @@
 
     def announce(self, endpoint: Endpoint, now: datetime.timedelta) -> bool:
         """Adds an endpoint or renews its announcement; returns whether it is new."""
+        if (endpoint.name, endpoint.session) in self._departures:
+            # This announcement was sent before the one to leave, but arrived after it.
+            return False
         state = self.state_by_endpoint.get(endpoint.name)
         if state is None or now >= state.endpoint.expires_at:
             self.state_by_endpoint[endpoint.name] = _EndpointState(endpoint, now)
             return True
-        if state.endpoint.leaving and state.endpoint.session == endpoint.session:
-            # This renewal was sent before the announcement to leave, but arrived after it.
-            return False
         state.endpoint = endpoint
         return False
 
-    def leave(self, name: str) -> None:
-        """Stops granting slots of an endpoint."""
+    def drain(self, name: str) -> None:
+        """Grants no more slots of an endpoint until it announces itself again."""
         state = self.state_by_endpoint.get(name)
         if state:
             state.endpoint.leaving = True
 
+    def leave(self, name: str, session: str) -> bool:
+        """Grants no more slots of a session of an endpoint, also if its announcements come later.
+
+        Returns:
+            Whether it is the session that the endpoint announced last. Another one has ended
+            before, or its announcement has not arrived or has expired.
+        """
+        self._departures[name, session] = None
+        self._departures.move_to_end((name, session))
+        while len(self._departures) > MAX_DEPARTURES:
+            self._departures.popitem(last=False)
+        state = self.state_by_endpoint.get(name)
+        if state is None or state.endpoint.session != session:
+            return False
+        state.endpoint.leaving = True
+        return True
+
     def pause(self, name: str, now: datetime.timedelta, pause: datetime.timedelta) -> None:
         """Suspends grants of an endpoint's slots after it shed a request or broke a connection."""
         state = self.state_by_endpoint.get(name)
--- a/flamingotiller/slots.py
+++ b/flamingotiller/slots.py
@@ -344,7 +344,7 @@
             return
         for name in queue.state_by_endpoint:
             if ("endpoint", name) in drained:
-                queue.leave(name)
+                queue.drain(name)
 
     def _log_endpoint_left(self, endpoint: selection.Endpoint, reason: str) -> None:
         events.emit(
@@ -483,7 +483,7 @@
         queue = self.queue(service)
         now = self._process.clock.monotonic()
         if body["leaving"]:
-            return self._on_leave(queue, body["endpoint"])
+            return self._on_leave(queue, body["endpoint"], body["session"])
         endpoint = selection.Endpoint(
             body["endpoint"], service, body["address"], body["slots"], body["connections"],
             now + self._process.config.endpoint_lease, load=body["load"], session=body["session"],
@@ -500,9 +500,11 @@
         self.grant_waiting(queue)
         return {"lease_s": self._process.config.endpoint_lease.total_seconds(), "in_flight": 0}
 
-    def _on_leave(self, queue: selection.SlotQueue, name: str) -> dict[str, typing.Any]:
+    def _on_leave(
+        self, queue: selection.SlotQueue, name: str, session: str
+    ) -> dict[str, typing.Any]:
         state = queue.state_by_endpoint.get(name)
-        if state and not state.endpoint.leaving:
+        was_leaving = state is not None and state.endpoint.leaving
+        if queue.leave(name, session) and state and not was_leaving:
             self._log_endpoint_left(state.endpoint, "left")
-        queue.leave(name)
         return {"lease_s": 0.0, "in_flight": state.used if state else 0}
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -35,19 +35,21 @@
         self.waiting = []
         self.running = []
         self.left = set()
+        self.session_by_name = {}
         self.session = 0
 
     @stateful.rule(name=st.sampled_from("ab"))
     def announce(self, name):
         self.session += 1
         until = self.now.total_seconds() + 3
+        self.session_by_name[name] = str(self.session)
         self.queue.announce(endpoint(name, until=until, session=str(self.session)), self.now)
         self.left.discard(name)
         self.grant_waiting()
 
     @stateful.rule(name=st.sampled_from("ab"))
     def leave(self, name):
-        self.queue.leave(name)
+        self.queue.leave(name, self.session_by_name.get(name, "none"))
         self.left.add(name)
 
     @stateful.rule(organisation=st.sampled_from("xyz"), seconds=st.sampled_from([0.5, 5, 50]))
@@ -123,7 +125,7 @@
 
 def test_leaving_endpoint_gets_no_requests_even_after_a_late_renewal():
     queue, now = warmed_up_queue(endpoint("a", session="1"))
-    queue.leave("a")
+    queue.leave("a", "1")
     queue.announce(endpoint("a", session="1"), now)
     queue.ask(waiter(), now)
     assert queue.grant(now) == []
@@ -131,6 +133,28 @@
     assert len(queue.grant(now)) == 1
 
 
+def test_departure_is_kept_though_the_endpoint_is_not_known_or_its_announcement_has_run_out():
+    """It was acknowledged and forgotten, so that a late announcement brought the endpoint back."""
+    queue, now = warmed_up_queue(endpoint("a", session="1", until=1000))
+    queue.leave("b", "1")
+    queue.announce(endpoint("b", session="1"), now)
+    assert "b" not in queue.state_by_endpoint
+    queue.leave("a", "1")
+    later = now + clock.seconds(2000)
+    queue.expire(later)
+    queue.announce(endpoint("a", session="1", until=5000), later)
+    assert not queue.endpoints(later)
+    queue.announce(endpoint("a", session="2", until=5000), later)
+    assert [e.name for e in queue.endpoints(later)] == ["a"]
+
+
+def test_late_departure_of_an_earlier_session_leaves_the_present_one():
+    queue, now = warmed_up_queue(endpoint("a", session="2"))
+    assert not queue.leave("a", "1")
+    queue.ask(waiter(), now)
+    assert len(queue.grant(now)) == 1
+
+
 def test_new_endpoint_goes_through_slow_start():
     queue = selection.SlotQueue("s")
     queue.announce(endpoint("a", slots=8), clock.ZERO)
