Record the departure of every endpoint that says that it leaves

Cause: the state machine ignored a departure of an endpoint that was not in the table, while the steward acknowledged it whatever the outcome. A silent endpoint is not in the table, and may come back in the same lifetime.

Change: a departure is recorded for its lifetime, whether or not the endpoint is in the table. Members of the log must agree on the effect of each entry, so the rule holds from the entry on by which the leader says that all members know it: a level, which stewards name in their polls, and which earlier builds ignore.

--- a/flamingotiller/fleet/log_membership.py
+++ b/flamingotiller/fleet/log_membership.py
@@ -25,12 +25,14 @@
         address: Address at which it receives messages from members.
         zone: Its availability zone.
         requested_at: Time of the latest request.
+        level: Level of the state machine's rules that it knows, 0 for builds that name none.
     """
 
     identity: str
     address: str
     zone: str
     requested_at: datetime.timedelta
+    level: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,6 +86,32 @@
     return _without(members, failed) if failed else None
 
 
+def common_level(
+    members: replica_messages.Members,
+    own_identity: str,
+    own_level: int,
+    join_requests: collections.abc.Collection[JoinRequest],
+    now: datetime.timedelta,
+) -> int:
+    """Returns the level of rules that all members know, 0 while one of them has not said its own.
+
+    Args:
+        members: Current membership.
+        own_identity: Identity of the leader.
+        own_level: Level that the leader knows.
+        join_requests: Latest join request of each instance, members included.
+        now: Monotonic time.
+    """
+    level_by_identity = {
+        request.identity: request.level
+        for request in join_requests
+        if now - request.requested_at <= JOIN_REQUEST_LIFETIME
+    }
+    level_by_identity[own_identity] = own_level
+    identities = (*members.voters, *members.learners)
+    return min((level_by_identity.get(identity, 0) for identity in identities), default=0)
+
+
 def _previous_learner(members: replica_messages.Members, request: JoinRequest) -> str:
     """Returns another learner with the address of a request, empty if none: its disk was lost, and
     the instance started again under a new identity, before it became a voter."""
--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -13,6 +13,11 @@
 # Endpoints, departed ones included, whose latest report is remembered, so that reports that arrive
 # late do not restore a departed endpoint.
 MAX_REMEMBERED_ENDPOINTS = 10_000
+# Level of the rules that this build knows. A command must have the same effect at every member, so
+# rules of a level are in force only from the entry on that says that all members know them.
+LEVEL = 1
+# From this level on, the departure of an endpoint that is not in the table is recorded.
+RECORDS_EVERY_DEPARTURE = 1
 
 ACCEPTED, CONFLICT, STALE, IGNORED = "accepted", "conflict", "stale", "ignored"
 
@@ -40,6 +45,7 @@
         version: Version of the configuration, 0 before the first.
         source: The configuration as the operator sent it, None before the first.
         zone_by_identity: Availability zones of the log's members.
+        level: Level of the rules in force.
     """
 
     def __init__(self) -> None:
@@ -47,6 +53,7 @@
         self.version = 0
         self.source: typing.Any = None
         self.zone_by_identity: dict[str, str] = {}
+        self.level = 0
         self._digest_by_version: dict[int, str] = {}
         # Start time and sequence number of the latest report by endpoint, departed ones included.
         self._latest_by_id: dict[str, tuple[int, int]] = {}
@@ -136,6 +143,8 @@
         id_, born_ms = command["id"], command["born_ms"]
         subject = model.subject(model.ENDPOINT, id_)
         existing = self.table.item_by_subject.get(subject)
+        if not command["silent"] and self.level >= RECORDS_EVERY_DEPARTURE:
+            return self._depart(id_, born_ms)
         if existing is None or (born_ms is not None and existing["born_ms"] > born_ms):
             return IGNORED
         self.table.put(subject, None)
@@ -143,8 +152,24 @@
             self._silent_ids.add(id_)
         return ACCEPTED
 
+    def _depart(self, id_: str, born_ms: int | None) -> str:
+        """Removes an endpoint that has left. Reports of the same lifetime do not bring it back, also
+        if it was silent when it left or if its first report is late."""
+        latest_born_ms, _ = self._latest_by_id.get(id_, (-1, -1))
+        if born_ms is None:
+            born_ms = latest_born_ms
+        if born_ms < 0 or born_ms < latest_born_ms:
+            return IGNORED
+        if born_ms > latest_born_ms:
+            self._record_latest(id_, born_ms, -1)
+        self._silent_ids.discard(id_)
+        self.table.put(model.subject(model.ENDPOINT, id_), None)
+        return ACCEPTED
+
     def _locate(self, command: dict[str, typing.Any]) -> str:
         self.zone_by_identity[command["identity"]] = command["zone"]
+        # Earlier builds apply the entry without the level.
+        self.level = max(self.level, command.get("level", 0))
         return ACCEPTED
 
     def _suspect(self, command: dict[str, typing.Any]) -> str:
@@ -198,6 +223,7 @@
             "latest": [[id_, *latest] for id_, latest in self._latest_by_id.items()],
             "silent": sorted(self._silent_ids),
             "zones": dict(self.zone_by_identity),
+            "level": self.level,
         }
 
     @classmethod
@@ -211,6 +237,7 @@
             state._latest_by_id = {id_: (b, s) for id_, b, s in document["latest"]}
             state._silent_ids = set(document["silent"])
             state.zone_by_identity = dict(document["zones"])
+            state.level = document.get("level", 0)
         return state
 
 
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -287,6 +287,7 @@
             "zone": self.config.zone,
             "identity": self.log.replica.identity,
             "address": self.config.address,
+            "level": state.LEVEL,
             "gateways": [
                 [gateway.to_wire(), silence.total_seconds()]
                 for gateway, silence in self._local_gateways.silences(now)
@@ -458,6 +459,20 @@
             if is_member and self.state.zone_by_identity.get(identity) != zone:
                 command = {"kind": "locate", "identity": identity, "zone": zone}
                 await self.log.propose(command, DECISION_TIMEOUT)
+        await self._raise_level(members)
+
+    async def _raise_level(self, members: replica_messages.Members) -> None:
+        identity = self.log.replica.identity
+        level = log_membership.common_level(
+            members,
+            identity,
+            state.LEVEL,
+            list(self._join_request_by_address.values()),
+            self.clock.monotonic(),
+        )
+        if level > self.state.level:
+            command = {"kind": "locate", "identity": identity, "zone": self.config.zone}
+            await self.log.propose({**command, "level": level}, DECISION_TIMEOUT)
 
     # Calls from other instances
 
@@ -496,7 +511,11 @@
         leader_state = self._require_leader_state()
         # The latest identity at an address counts: an earlier one there has lost its disk.
         self._join_request_by_address[body["address"]] = log_membership.JoinRequest(
-            body["identity"], body["address"], body["zone"], self.clock.monotonic()
+            body["identity"],
+            body["address"],
+            body["zone"],
+            self.clock.monotonic(),
+            int(body.get("level", 0)),
         )
         now = self.clock.monotonic()
         for document, silence_s in body["gateways"]:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -293,3 +293,43 @@
     delta = follower.table.since(reader_revision)
     assert not delta.full
     assert delta.items["organisation/o"] is None
+
+
+RAISE_LEVEL = {"kind": "locate", "identity": "n", "zone": "a", "level": state.LEVEL}
+
+
+@pytest.mark.parametrize(
+    ("before", "departure", "late"),
+    [
+        # The endpoint was silent when it left, and a report from before arrives later;
+        ([report(), leave(silent=True)], leave(), report(sequence=5)),
+        ([report(), leave(silent=True)], leave(born=None), report(sequence=5)),
+        # its first report, or the first of a new lifetime, is late;
+        ([], leave(), report()),
+        ([report()], leave(born=2000), report(born=2000, sequence=1)),
+        # a silence is noticed only after it has left.
+        ([report()], leave(), report(sequence=5)),
+    ],
+)
+def test_departure_of_an_endpoint_that_is_not_in_the_table_is_recorded(before, departure, late):
+    """It was acknowledged and forgotten: a late report put the endpoint back into use."""
+    fleet, verdicts = run(RAISE_LEVEL, *before, departure, late)
+    assert verdicts[-2:] == ["accepted", "ignored"]
+    lifetime = late["endpoint"]["born_ms"]
+    assert not fleet.endpoint("e1") or fleet.endpoint("e1").born_ms != lifetime
+    restored = state.FleetState.load(fleet.dump())
+    _, verdicts = run(late, report(born=9000, sequence=1), fleet=restored)
+    assert verdicts == ["ignored", "accepted"]
+
+
+def test_late_departure_of_an_earlier_lifetime_leaves_the_present_one():
+    fleet, verdicts = run(RAISE_LEVEL, report(born=2000), leave(silent=True, born=2000), leave())
+    assert verdicts[-1] == "ignored"
+    _, verdicts = run(report(born=2000, sequence=2), fleet=fleet)
+    assert verdicts == ["accepted"]
+
+
+def test_departures_have_the_effect_of_earlier_builds_until_all_members_know_the_new_one():
+    fleet, verdicts = run(report(), leave(silent=True), leave(), report(sequence=5))
+    assert verdicts == ["accepted", "accepted", "ignored", "accepted"]
+    assert state.FleetState.load(fleet.dump()).level == 0
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -388,6 +388,31 @@
     asyncio.run(scenario())
 
 
+def test_level_of_the_rules_rises_once_all_members_know_them(tmp_path):
+    """During a roll, members of an earlier build would apply the same entry differently."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            build_poll = follower._follower._build_poll
+            follower._follower._build_poll = lambda: {
+                name: value for name, value in build_poll().items() if name != "level"
+            }
+            # The follower may have told its level before; from now on it does not.
+            leader._join_request_by_address.clear()
+            for node in cluster.by_host.values():
+                node.state.level = 0
+            await asyncio.sleep(0.5)
+            assert all(node.state.level == 0 for node in cluster.by_host.values())
+            follower._follower._build_poll = build_poll
+            await polling.wait_until(
+                lambda: all(n.state.level == state.LEVEL for n in cluster.by_host.values())
+            )
+
+    asyncio.run(scenario())
+
+
 class JumpingClock(clock.SystemClock):
     """Clock that can jump forward, as after the process was suspended."""
 
