Bound a whole attempt at an endpoint by the request's deadline

Cause: only the silence between two pieces of data was bounded, and sending waited without a limit while the endpoint did not read.

Change: on both paths reading an event, sending, and passing a body on end with the deadline. A caller's own slow body is told apart: it is no failure of the endpoint, and is answered with 504, not 408, once a part has been passed on, since 408 promises that the request has not run.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import datetime
 import enum
@@ -266,17 +267,42 @@
         if self.prepared.body:
             events.append(h11.Data(data=self.prepared.body))
         if self.prepared.body_ended:
-            await connection.send(*events, h11.EndOfMessage())
+            await connection.send(*events, h11.EndOfMessage(), timeout=self._remaining())
             return
-        await connection.send(*events)
-        while chunk := await self.prepared.request.next_chunk():
-            await connection.send(h11.Data(data=chunk))
-        await connection.send(h11.EndOfMessage())
+        await self._send_streamed(connection, events)
+
+    async def _send_streamed(self, connection: wire.Connection, events: list[h11.Event]) -> None:
+        """Sends a body as the caller sends it, until the deadline.
+
+        Raises:
+            errors.ExchangeTimeoutError: The endpoint did not read it in time.
+            errors.LimitExceededError: The caller did not send it in time.
+        """
+        awaits_caller = False
+        try:
+            async with asyncio.timeout(self._remaining().total_seconds()):
+                await connection.send(*events)
+                while True:
+                    awaits_caller = True
+                    chunk = await self.prepared.request.next_chunk()
+                    awaits_caller = False
+                    if not chunk:
+                        break
+                    await connection.send(h11.Data(data=chunk))
+                await connection.send(h11.EndOfMessage())
+        except TimeoutError as error:
+            if awaits_caller:
+                raise errors.LimitExceededError(
+                    "body arrived too slowly", status=408, step="read body"
+                ) from error
+            raise errors.ExchangeTimeoutError(
+                "peer did not read in time", step="send", peer=self.address
+            ) from error
 
     async def _read_head(self, connection: wire.Connection, reused: bool) -> h11.Response:
-        event = await connection.next_event(self._remaining())
+        event = await connection.next_event(self._remaining(), in_total=True)
         while isinstance(event, h11.InformationalResponse):
-            event = await connection.next_event(self._remaining())
+            event = await connection.next_event(self._remaining(), in_total=True)
         if not isinstance(event, h11.Response):
             raise errors.ConnectionLostError("no response", step="read head", peer=self.address)
         self._check_id(event)
@@ -331,7 +357,7 @@
         # A short response is read completely before any of it is sent, so that the caller gets an
         # error response instead of a truncated one.
         while True:
-            event = await connection.next_event(self._remaining())
+            event = await connection.next_event(self._remaining(), in_total=True)
             if isinstance(event, h11.EndOfMessage):
                 body = b"".join(buffered)
                 await self._send_buffered_response(reply, head.status_code, headers, body)
@@ -344,7 +370,7 @@
         for part in buffered:
             await reply.write(part)
         while True:
-            event = await connection.next_event(self._remaining())
+            event = await connection.next_event(self._remaining(), in_total=True)
             if isinstance(event, h11.EndOfMessage):
                 await reply.finish()
                 return None
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -237,12 +237,37 @@
         if job.body:
             events.append(h11.Data(data=job.body))
         if job.body_ended:
-            await link.send(*events, h11.EndOfMessage())
+            await link.send(*events, h11.EndOfMessage(), timeout=self._reading_time())
             return
-        await link.send(*events)
-        while chunk := await job.request.next_chunk():
-            await link.send(h11.Data(data=chunk))
-        await link.send(h11.EndOfMessage())
+        await self._send_streamed(link, events)
+
+    async def _send_streamed(self, link: wire.Connection, events: list[h11.Event]) -> None:
+        """Sends a body as the caller sends it, until the deadline.
+
+        Raises:
+            errors.ExchangeTimeoutError: The endpoint did not read it in time.
+            errors.LimitExceededError: The caller did not send it in time.
+        """
+        awaits_caller = False
+        try:
+            async with asyncio.timeout(self._reading_time().total_seconds()):
+                await link.send(*events)
+                while True:
+                    awaits_caller = True
+                    chunk = await self._job.request.next_chunk()
+                    awaits_caller = False
+                    if not chunk:
+                        break
+                    await link.send(h11.Data(data=chunk))
+                await link.send(h11.EndOfMessage())
+        except TimeoutError as error:
+            if awaits_caller:
+                raise errors.LimitExceededError(
+                    "body arrived too slowly", status=408, step="read body"
+                ) from error
+            raise errors.ExchangeTimeoutError(
+                "peer did not read in time", step="send", peer=self._address
+            ) from error
 
     def _head(self) -> h11.Request:
         job, dialect = self._job, self._dialect
@@ -272,7 +297,7 @@
 
     async def _read_head(self, link: wire.Connection) -> h11.Response:
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
-            event = await link.next_event(self._reading_time())
+            event = await link.next_event(self._reading_time(), in_total=True)
             if not isinstance(event, h11.InformationalResponse):
                 break
         if isinstance(event, h11.InformationalResponse):
@@ -334,7 +359,7 @@
 
     async def _next_data(self, link: wire.Connection) -> bytes | None:
         """Returns the next part of the body, None at its end."""
-        event = await link.next_event(self._reading_time())
+        event = await link.next_event(self._reading_time(), in_total=True)
         if not isinstance(event, h11.EndOfMessage):
             return bytes(event.data)
         if link.broken:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -419,6 +419,15 @@
                 raise
             reply.close_after = reply.close_after or not request.body_ended
             await self._refuse(reply, error, trace, dispatch_state)
+        except errors.LimitExceededError as error:
+            if reply.started:
+                raise
+            # The caller's body was too slow or too long while it was being passed on. A status of
+            # 408 would promise that the request has not run.
+            may_have_run = dispatch_state.outcome is dispatch.Outcome.UNKNOWN
+            status = 504 if error.status == 408 and may_have_run else error.status
+            reply.close_after = True
+            await self._refuse(reply, _refused(status, "body", error), trace, dispatch_state)
         except asyncio.CancelledError:
             if self._server.ending and reply.in_turn and not (request.caller_left or reply.started):
                 await self._refuse(reply, _cut_off(dispatch_state), trace, dispatch_state)
--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -153,8 +153,11 @@
         return ACCEPTED
 
     def _depart(self, id_: str, born_ms: int | None) -> str:
-        """Removes an endpoint that has left. Reports of the same lifetime do not bring it back, also
-        if it was silent when it left or if its first report is late."""
+        """Removes an endpoint that has left.
+
+        Reports of the same lifetime do not bring it back, not even if it was silent when it left
+        or if its first report is late.
+        """
         latest_born_ms, _ = self._latest_by_id.get(id_, (-1, -1))
         if born_ms is None:
             born_ms = latest_born_ms
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -66,6 +66,22 @@
                 raise
             reply.close_after = reply.close_after or not request.body_ended
             await dispatch.send_refusal(reply, error, state.outcome, request_id)
+        except errors.LimitExceededError as error:
+            if reply.started:
+                raise
+            # The caller's body was too slow or too long while it was being passed on. A status of
+            # 408 would promise that the request has not run.
+            may_have_run = state.outcome is dispatch.Outcome.UNKNOWN
+            refusal = errors.RefusedError(
+                error.message,
+                status=504 if error.status == 408 and may_have_run else error.status,
+                code="body",
+                step="read body",
+            )
+            result = refusal.code
+            self._count_refusal(organisation, refusal, state)
+            reply.close_after = True
+            await dispatch.send_refusal(reply, refusal, state.outcome, request_id)
         except asyncio.CancelledError:
             if not self._process.server.ending or request.caller_left or reply.started:
                 raise
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -179,20 +179,25 @@
         if self._read_waiter and not self._read_waiter.done():
             self._read_waiter.set_result(None)
 
-    async def next_event(self, timeout: datetime.timedelta) -> typing.Any:
+    async def next_event(
+        self, timeout: datetime.timedelta, *, in_total: bool = False
+    ) -> typing.Any:
         """Reads the next h11 event.
 
         Args:
             timeout: Maximum time between two pieces of data from the peer.
+            in_total: Whether ``timeout`` is the maximum time until the event is complete instead,
+                however slowly its data arrives.
 
         Returns:
             An h11 event, or ``h11.PAUSED``.
 
         Raises:
-            errors.ExchangeTimeoutError: The peer sent no data within the timeout.
+            errors.ExchangeTimeoutError: The timeout has passed.
             errors.ConnectionLostError: The connection ended before the event was complete.
             errors.ProtocolError: The peer sent invalid HTTP/1.1.
         """
+        ends_at: float | None = None
         while True:
             try:
                 event = self.h11.next_event()
@@ -207,9 +212,14 @@
                 return event
             if self.lost:
                 raise errors.ConnectionLostError("connection ended", peer=self.peer)
-            await self._wait_readable(timeout)
-
-    async def _wait_readable(self, timeout: datetime.timedelta) -> None:
+            remaining_s = timeout.total_seconds()
+            if in_total:
+                now = asyncio.get_running_loop().time()
+                ends_at = now + remaining_s if ends_at is None else ends_at
+                remaining_s = max(0.0, ends_at - now)
+            await self._wait_readable(remaining_s)
+
+    async def _wait_readable(self, timeout_s: float) -> None:
         self._unread_bytes = 0
         if self._read_paused:
             self._read_paused = False
@@ -217,7 +227,7 @@
         loop = asyncio.get_running_loop()
         waiter = self._read_waiter = loop.create_future()
         # A timer and a plain future cost half as much as asyncio.timeout on this hot path.
-        timer = loop.call_later(timeout.total_seconds(), _expire, waiter)
+        timer = loop.call_later(timeout_s, _expire, waiter, "peer sent no data in time", "read")
         try:
             await waiter
         except errors.ExchangeTimeoutError as error:
@@ -227,10 +237,15 @@
             timer.cancel()
             self._read_waiter = None
 
-    async def send(self, *events: h11.Event) -> None:
+    async def send(self, *events: h11.Event, timeout: datetime.timedelta | None = None) -> None:
         """Sends events in one write, and waits while the peer reads too slowly.
 
+        Args:
+            events: Events of h11.
+            timeout: Maximum time to wait for the peer, None for no maximum.
+
         Raises:
+            errors.ExchangeTimeoutError: The peer has not read enough within the timeout.
             errors.ConnectionLostError: The connection has ended.
             errors.ProtocolError: The events are not allowed in the connection's state.
         """
@@ -243,9 +258,26 @@
         self.bytes_written += len(data)
         total_traffic.written += len(data)
         self.transport.write(data)
+        if self._write_paused:
+            await self._wait_writable(timeout)
+
+    async def _wait_writable(self, timeout: datetime.timedelta | None) -> None:
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout.total_seconds() if timeout is not None else None
         while self._write_paused and not self.lost:
-            self._write_waiter = asyncio.get_running_loop().create_future()
-            await self._write_waiter
+            waiter = self._write_waiter = loop.create_future()
+            timer = None
+            if ends_at is not None:
+                message = "peer did not read in time"
+                timer = loop.call_at(ends_at, _expire, waiter, message, "send")
+            try:
+                await waiter
+            except errors.ExchangeTimeoutError as error:
+                error.peer = self.peer
+                raise
+            finally:
+                if timer is not None:
+                    timer.cancel()
 
     def close(self) -> None:
         """Closes the connection once buffered data has been sent."""
@@ -277,9 +309,9 @@
         )
 
 
-def _expire(waiter: asyncio.Future[None]) -> None:
+def _expire(waiter: asyncio.Future[None], message: str, step: str) -> None:
     if not waiter.done():
-        waiter.set_exception(errors.ExchangeTimeoutError("peer sent no data in time", step="read"))
+        waiter.set_exception(errors.ExchangeTimeoutError(message, step=step))
 
 
 def header(headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
--- a/tests/fleet_fakes.py
+++ b/tests/fleet_fakes.py
@@ -146,8 +146,9 @@
 
 
 async def _wait_for_disconnect(reader):
-    # Nothing more arrives while the gateway waits for the response, so only its close ends this.
-    await polling.wait_until(reader.at_eof)
+    # Nothing more arrives while the gateway waits for the response, so only its close or its reset
+    # ends this.
+    await polling.wait_until(lambda: reader.at_eof() or reader.exception() is not None)
 
 
 @dataclasses.dataclass
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -1,6 +1,7 @@
 """A gateway over real sockets: forwarding, refusals, and whether refusals tell the truth."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import fleet_fakes
@@ -770,3 +771,77 @@
             assert float(response.headers["retry-after"]) > 0
 
     run(work())
+
+
+class DrippingEndpoint(FakeEndpoint):
+    """Sends the head of its response byte by byte, without an end."""
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            self.requests.append(await read_message(reader))
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Filler: ")
+            while True:
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+
+
+class DeafEndpoint(FakeEndpoint):
+    """Reads nothing."""
+
+    async def _serve(self, reader, writer):
+        self.requests.append(None)
+        writer.transport.pause_reading()
+        await asyncio.sleep(30)
+
+
+@pytest.mark.parametrize("declares_length", [True, False])
+@pytest.mark.parametrize(
+    ("endpoint_type", "length"), [(DrippingEndpoint, 0), (DeafEndpoint, 8 * 1024 * 1024)]
+)
+def test_request_is_answered_in_time_whatever_its_endpoint_does(
+    endpoint_type, length, declares_length
+):
+    """An endpoint that sent the head of its response a byte at a time, or did not read a long body,
+    kept its caller without an answer beyond the route's timeout."""
+
+    async def work():
+        routes = [make_route(timeout_s=0.5, idempotent=False)]
+        async with GatewayHarness(endpoint_type(), routes=routes) as harness:
+            reader, writer = await harness.connect()
+            extra = {} if declares_length else {"Transfer_Encoding": "chunked"}
+            head = make_request(method="POST", X_Deadline_Ms="5000", **extra)
+            if declares_length:
+                head = head.replace(b"Content-Length: 0", b"Content-Length: %d" % length)
+            else:
+                head = head.replace(b"Content-Length: 0\r\n", b"")
+            writer.write(head)
+            body = b"b" * length
+            if not declares_length:
+                body = (b"%x\r\n" % length + body + b"\r\n" if body else b"") + b"0\r\n\r\n"
+            writer.write(body)
+            async with asyncio.timeout(5):
+                response = await read_message(reader)
+            assert response.status == 504
+            assert harness.run_count == 1
+
+    run(work())
+
+
+def test_slow_body_of_a_caller_is_no_fault_of_the_endpoint_and_promises_nothing():
+    """It was answered with 408, which promises that the request has not run."""
+
+    async def work():
+        routes = [make_route(timeout_s=0.5, idempotent=False)]
+        async with GatewayHarness(routes=routes) as harness:
+            length = 2 * gateway.MAX_BUFFERED_BODY_BYTES
+            reader, writer = await harness.connect()
+            request = make_request(method="POST", X_Deadline_Ms="5000")
+            writer.write(request.replace(b"Content-Length: 0", b"Content-Length: %d" % length))
+            writer.write(b"b" * (length - 1))
+            async with asyncio.timeout(5):
+                response = await read_message(reader)
+            assert response.status == 504
+            assert harness.gateway._chooser.health_by_id["e1"].timeouts == 0
+
+    run(work())
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -55,6 +55,10 @@
                 if self.connection_action == "close":
                     writer.close()
                     return
+                while self.connection_action == "drip":
+                    writer.write(b"x")
+                    await writer.drain()
+                    await asyncio.sleep(0.05)
                 if self.connection_action == "stall":
                     await asyncio.sleep(30)
 
@@ -310,3 +314,17 @@
         assert len(harness.endpoint.requests) == 1
 
     run_scenario(scenario, monkeypatch)
+
+
+def test_response_head_without_an_end_is_a_timeout(monkeypatch):
+    async def scenario(harness):
+        harness.endpoint.connection_action = "drip"
+        harness.endpoint.response = b"HTTP/1.1 200 OK\r\nfiller: "
+        sender = harness.caller
+        headers = [("flamingotiller-deadline-ms", "400")]
+        sender._client.call = with_headers(sender._client, headers)
+        async with asyncio.timeout(5):
+            response = await sender.send("POST", "/filings/1", b"x")
+        assert (response.status, response.json()["outcome"]) == (504, "unknown")
+
+    run_scenario(scenario, monkeypatch)
