Refuse what the log cannot hold before it is accepted

Cause: the leader put the entry into its memory before it tried to write it, and went on leading with an entry that it could neither write nor send.

Change: a command with more than 100 levels is refused with 400 where it arrives and again where it would enter the log, on both paths; an entry that cannot be written is not kept in memory. Stewards take calls, and clients responses, as long as the longest configuration makes them.

--- a/flamingotiller/client.py
+++ b/flamingotiller/client.py
@@ -16,7 +16,8 @@
 from flamingotiller import clock, compression, errors, wire
 
 CONNECT_TIMEOUT = clock.seconds(1)
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Holds all items of the longest configuration that an operator may send.
+MAX_RESPONSE_BYTES = 128 * 1024 * 1024
 MAX_IDLE_PER_PEER = 32
 # Connections are not reused this close to the peer's idle timeout, so that a request does not cross
 # the peer's close. The margin covers the one-way delay and a late timer.
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -77,6 +77,8 @@
 # Time for the leader to commit a suspect or a trial; a caller may be waiting for it.
 SUSPECT_TIMEOUT = clock.seconds(0.3)
 MAX_FINGERPRINT_LENGTH = 64
+# A configuration that an operator may send, with the items made of it.
+MAX_PEER_BODY_BYTES = 128 * 1024 * 1024
 # How long a steward waits for an update's base version before it passes the whole update on.
 BASE_VERSION_TIMEOUT = clock.seconds(0.3)
 # A new leader publishes its list of gateways only after gateways have had this long to reach it.
@@ -161,7 +163,11 @@
         self._pool = client.ConnectionPool()
         self._client = client.Client(self._pool)
         self._server = server.Server(
-            self._serve_peer, on_handler_error=_log_handler_error, compresses=True, clk=clk
+            self._serve_peer,
+            limits=server.Limits(body_bytes=MAX_PEER_BODY_BYTES),
+            on_handler_error=_log_handler_error,
+            compresses=True,
+            clk=clk,
         )
         # Tells leaders' clocks apart; a process that starts again has another one.
         self._process_id = secrets.token_hex(8)
@@ -859,8 +865,10 @@
         """Replaces the configuration.
 
         Raises:
+            errors.InvalidInputError: The log cannot hold it.
             errors.FlamingotillerError: The outcome is not known; the update may be sent again.
         """
+        replica_messages.check_nesting(update.source, "configure")
         await self._wait_for_version(update.base)
         # The leader needs the whole update only if it is the only one that has applied the base.
         operation, arguments = (
--- a/flamingotiller/journal.py
+++ b/flamingotiller/journal.py
@@ -150,9 +150,13 @@
         self._write({"vote": [term, voted_for]})
 
     def append(self, entry: Entry) -> None:
-        """Appends an entry."""
-        self.entries.append(entry)
+        """Appends an entry.
+
+        Raises:
+            errors.InvalidInputError: It cannot be written, and is not appended.
+        """
         self._write({"entry": entry.to_wire()})
+        self.entries.append(entry)
 
     def truncate(self, index: int) -> None:
         """Removes the entry at ``index`` and all later ones."""
@@ -361,7 +365,11 @@
     def _write(self, record: dict[str, typing.Any]) -> None:
         if self._buffer:
             record = {**record, "back": len(self._buffer)}
-        self._buffer += _encode(orjson.dumps(record))
+        try:
+            body = orjson.dumps(record)
+        except TypeError as error:
+            raise errors.InvalidInputError(f"cannot be written: {error}", step="append") from error
+        self._buffer += _encode(body)
 
     def _rewrite(self) -> None:
         try:
--- a/flamingotiller/log_task.py
+++ b/flamingotiller/log_task.py
@@ -234,6 +234,7 @@
             expires_at: Monotonic time after which it is not appended either, None for no other.
 
         Raises:
+            errors.InvalidInputError: The command cannot be written to the log.
             errors.NotLeaderError: This replica is not the leader, or lost leadership before the
                 command was committed; whether it takes effect is not known.
             errors.UnavailableError: Not committed in time; it may still be.
@@ -336,6 +337,7 @@
             members = proposal.command(self.replica.members)
             index, term = self.replica.propose_members(members, now)
         else:
+            replica_messages.check_nesting(proposal.command, "propose")
             index, term = self.replica.propose(proposal.command, now)
         self._pending_proposals.setdefault(index, []).append((term, proposal.result))
 
--- a/flamingotiller/platform/messages.py
+++ b/flamingotiller/platform/messages.py
@@ -10,7 +10,7 @@
 import orjson
 import pydantic
 
-from flamingotiller import errors
+from flamingotiller import errors, replica_messages
 from flamingotiller.fleet import model, steward
 from flamingotiller.platform import settings_file
 
@@ -318,6 +318,7 @@
     except ValueError as error:
         raise errors.InvalidInputError(f"X-If-Version: {error}", step="configure") from error
     source = orjson.loads(body)
+    replica_messages.check_nesting(source, "replace configuration")
     canonical = orjson.dumps([base_version, source], option=orjson.OPT_SORT_KEYS)
     return steward.ConfigurationUpdate(
         version=message.version,
--- a/flamingotiller/replica_messages.py
+++ b/flamingotiller/replica_messages.py
@@ -130,6 +130,31 @@
     round: int
 
 
+# Deepest nesting of arrays and objects in a command. Messages and snapshots add a few levels, and
+# orjson writes up to 254.
+MAX_NESTING = 100
+
+
+def check_nesting(value: typing.Any, step: str) -> None:
+    """Checks that a JSON value can be part of the log and of its messages.
+
+    Raises:
+        errors.InvalidInputError: It is nested too deeply.
+    """
+    level = [value]
+    for _ in range(MAX_NESTING + 1):
+        inner: list[typing.Any] = []
+        for item in level:
+            if isinstance(item, dict):
+                inner += item.values()
+            elif isinstance(item, (list, tuple)):
+                inner += item
+        level = [item for item in inner if isinstance(item, (dict, list, tuple))]
+        if not level:
+            return
+    raise errors.InvalidInputError(f"nested more than {MAX_NESTING} levels deep", step=step)
+
+
 Message = VoteRequest | VoteReply | Append | AppendReply | InstallSnapshot
 
 MESSAGE_TYPE_BY_NAME: dict[str, type] = {
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -158,6 +158,31 @@
     asyncio.run(scenario())
 
 
+def nested(depth):
+    value = []
+    for _ in range(depth - 1):
+        value = [value]
+    return value
+
+
+def test_configuration_that_the_log_cannot_hold_is_refused_and_blocks_nothing(tmp_path):
+    """A leader kept such an entry in memory, could neither write nor send it, and committed nothing
+    any more."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            await cluster.wait_for_voters(3)
+            for node in cluster.by_host.values():
+                deep = dataclasses.replace(update(1, 0), source={"x": nested(248)})
+                with pytest.raises(errors.InvalidInputError):
+                    await node.configure(deep)
+            good = dataclasses.replace(update(1, 0), source={"x": nested(90)})
+            await cluster.retry(lambda n: n.configure(good))
+            assert await cluster.retry(lambda n: n.read_configuration()) == good.source
+
+    asyncio.run(scenario())
+
+
 def test_log_of_long_entries_is_compacted_by_its_length(tmp_path, monkeypatch):
     """A log of a few hundred large configurations took all memory of an instance, since it was
     compacted by the number of its entries alone."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -195,3 +195,17 @@
     (folder / "log").write_bytes(bytes(data))
     with pytest.raises(errors.CorruptRecordError):
         journal.DiskJournal(folder)
+
+
+def test_entry_that_cannot_be_written_is_not_kept_in_memory(tmp_path):
+    journal.DiskJournal.create(tmp_path / "member", "n.0")
+    with contextlib.closing(journal.DiskJournal(tmp_path / "member")) as store:
+        deep = []
+        for _ in range(300):
+            deep = [deep]
+        with pytest.raises(errors.InvalidInputError):
+            store.append(journal.Entry(1, 1, "command", deep))
+        assert (store.entries, store.dirty) == ([], False)
+        store.append(journal.Entry(1, 1, "command", 1))
+        store.sync()
+    assert journal.DiskJournal(tmp_path / "member").last_index == 1
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from flamingotiller import clock, errors
+from flamingotiller import clock, errors, replica_messages
 from flamingotiller.fleet import model, placement
 from flamingotiller.platform import headers, messages, settings_file
 
@@ -237,3 +237,11 @@
     cookies = [(b"cookie", b"a=1; X-Affinity-Key=17; b=2")]
     assert headers.parse_affinity_key(cookies) == "17"
     assert headers.parse_affinity_key([(b"host", b"x")]) == ""
+
+
+def test_configuration_that_is_nested_too_deeply_is_refused():
+    for depth in (replica_messages.MAX_NESTING + 1, 250, 900):
+        body = orjson.dumps({**CONFIG, "more": None})
+        body = body.replace(b"null", b"[" * depth + b"]" * depth)
+        with pytest.raises(errors.InvalidInputError):
+            messages.decode_order(body, "r5")
