Heed responses that say that an endpoint leaves or wants a pause

Change: notices keeps both for the endpoint's lifetime. Placement, the one place that decides whether a lifetime may be sent anything, leaves out those that leave, in touch with the stewards or not; an endpoint in a pause is passed over, counts as no failure and gets its room back over two seconds. Malformed values count as absent and are logged. With all usable endpoints in a pause a request is refused at once with the earliest end.

--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -262,6 +262,21 @@
     "call peer error",
     "check the control instances and the links to them",
 )
+ENDPOINT_SAYS_IT_LEAVES = _define(
+    4019,
+    _INFO,
+    "a response says that its endpoint leaves; it is sent nothing more",
+    "endpoint service",
+)
+ENDPOINT_PAUSED = _define(
+    4020, _INFO, "an endpoint wants no requests for some time", "endpoint service pause_s"
+)
+PAUSE_INVALID = _define(
+    4021,
+    _INFO,
+    "Retry-After of an endpoint is not a number of seconds and is ignored",
+    "endpoint value",
+)
 PATHS_LOST = _define(
     3205,
     _WARN,
--- a/flamingotiller/fleet/chooser.py
+++ b/flamingotiller/fleet/chooser.py
@@ -8,7 +8,7 @@
 import enum
 
 from flamingotiller import clock
-from flamingotiller.fleet import model, placement, spill
+from flamingotiller.fleet import model, notices, placement, spill
 
 
 class Obstacle(enum.Enum):
@@ -19,15 +19,23 @@
     FULL = "preferred endpoints full"
     COLD = "share of a cold endpoint used up"
     SPILL_LIMIT = "limit on the change of region"
+    PAUSED = "all usable endpoints have asked for a pause"
     ENDPOINT_LIMIT = "limit that the endpoint has named used up"
 
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """Result of a choice: an endpoint, or what prevented it."""
+    """Result of a choice: an endpoint, or what prevented it.
+
+    Attributes:
+        endpoint: The endpoint, None if there is none.
+        obstacle: What prevented a choice, None if there is an endpoint.
+        paused_until: With ``PAUSED``, the earliest end of the endpoints' pauses.
+    """
 
     endpoint: model.Endpoint | None
     obstacle: Obstacle | None = None
+    paused_until: datetime.timedelta | None = None
 
 
 class Chooser:
@@ -51,7 +59,8 @@
         spill_limiter: spill.SpillLimiter,
     ) -> None:
         self.health_by_id: dict[str, placement.EndpointHealth] = {}
-        self._placement = placement.Placement(region, region_by_zone)
+        self._notices = notices.Notices()
+        self._placement = placement.Placement(region, region_by_zone, self._notices)
         self._cold_start_limiter = cold_start_limiter
         self._spill_limiter = spill_limiter
         self._error_rate_by_service: dict[str, placement.ServiceErrorRate] = {}
@@ -88,6 +97,23 @@
         health = self.health_by_id.setdefault(endpoint.id, placement.EndpointHealth())
         health.cold_until = now + clock.seconds(endpoint.cold_s)
 
+    def record_leaving(self, endpoint: model.Endpoint, now: datetime.timedelta) -> bool:
+        """Sends nothing more to a lifetime of an endpoint; returns whether that is new."""
+        if not self._notices.record_leaving(endpoint):
+            return False
+        self._placement.invalidate()
+        self.suspend_spill_limit(now)
+        return True
+
+    def record_pause(
+        self, endpoint: model.Endpoint, pause: datetime.timedelta, now: datetime.timedelta
+    ) -> bool:
+        """Sends an endpoint nothing during a pause; returns whether it is longer than before."""
+        if not self._notices.record_pause(endpoint, now + pause):
+            return False
+        self.suspend_spill_limit(now)
+        return True
+
     def forget_failures(self) -> None:
         """Lets all endpoints be tried again."""
         for health in self.health_by_id.values():
@@ -127,7 +153,7 @@
         order = self._placement.order(view, service, object_id, regions)
         preferred = self._placement.preferred(order, self.health_by_id, excluded, now)
         if not preferred:
-            return Choice(None, Obstacle.AVOIDED if order else Obstacle.NO_ENDPOINT)
+            return self._without_candidates(order, now)
         candidates = preferred
         spill_limited = False
         if len(preferred) > 1 and not excluded:
@@ -142,6 +168,13 @@
             return Choice(None, Obstacle.SPILL_LIMIT)
         return choice
 
+    def _without_candidates(self, order: list[model.Endpoint], now: datetime.timedelta) -> Choice:
+        ends = [self._notices.paused_until(endpoint) for endpoint in order]
+        paused_until = min((end for end in ends if end > now), default=None)
+        if paused_until is not None:
+            return Choice(None, Obstacle.PAUSED, paused_until)
+        return Choice(None, Obstacle.AVOIDED if order else Obstacle.NO_ENDPOINT)
+
     def _first_with_capacity(
         self,
         view: model.View,
@@ -160,7 +193,9 @@
                 obstacle = Obstacle.ENDPOINT_LIMIT
                 continue
             health = self.health_by_id[endpoint.id]
-            if health.estimated_load(now) >= endpoint.slots * placement.utilisation_limit(rank):
+            room = endpoint.slots * placement.utilisation_limit(rank)
+            room *= self._notices.share_of_room(endpoint, now)
+            if health.estimated_load(now) >= room:
                 continue
             cold = now < health.cold_until and rate > 0
             if cold and not self._cold_start_limiter.try_acquire(endpoint.id, rate, now):
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -33,6 +33,7 @@
     follower,
     forwarding,
     model,
+    notices,
     placement,
     presence,
     quota,
@@ -78,6 +79,8 @@
 # Other gateways that one request is relayed to, if the ones before did not take it.
 MAX_RELAY_ATTEMPTS = 3
 NO_PATH_RETRY_AFTER_S = 0.5
+# Added to the end of endpoints' pauses, so that callers do not return all at once.
+PAUSE_SPREAD_S = (0.05, notices.RETURN_TIME.total_seconds())
 # Codes of refusals of requests for which no endpoint was tried.
 CODE_BY_OBSTACLE = {
     chooser.Obstacle.NO_ENDPOINT: "no-endpoint",
@@ -86,6 +89,7 @@
     chooser.Obstacle.COLD: "cold",
     chooser.Obstacle.SPILL_LIMIT: "region-limit",
     chooser.Obstacle.ENDPOINT_LIMIT: "endpoint-limit",
+    chooser.Obstacle.PAUSED: "paused",
 }
 # A stopping gateway keeps serving for the delay, because callers may still use an earlier look-up
 # that names it. After that, requests in flight have the rest of the grace period to finish, but for
@@ -818,7 +822,7 @@
                     limited.clear()
                     continue
                 trace.obstacle = choice.obstacle
-                raise self._no_endpoint(job, dispatch_state, failure, choice.obstacle)
+                raise self._no_endpoint(job, dispatch_state, failure, choice)
             send_by = job.send_by
             if self._endpoint_limits.rate(endpoint) is not None:
                 revision = self.revision
@@ -955,7 +959,7 @@
         job: forwarding.Job,
         dispatch_state: dispatch.DispatchState,
         failure: errors.FlamingotillerError | None,
-        obstacle: chooser.Obstacle | None = None,
+        choice: chooser.Choice | None = None,
     ) -> errors.RefusedError:
         """Returns the refusal of a job that no endpoint served.
 
@@ -965,7 +969,7 @@
             job: The job.
             dispatch_state: What is known of its attempts.
             failure: Error of the last attempt, None if there was none.
-            obstacle: Why there was no further attempt, None if it was not allowed.
+            choice: Why there was no further attempt, None if it was not allowed.
         """
         if dispatch_state.outcome is dispatch.Outcome.UNKNOWN:
             timed_out = isinstance(failure, errors.ExchangeTimeoutError)
@@ -973,8 +977,12 @@
                 504 if timed_out else 502, "timeout" if timed_out else "endpoint-failed", failure
             )
         code = "not-run"
-        if failure is None and obstacle is not None:
-            code = CODE_BY_OBSTACLE[obstacle]
+        if failure is None and choice is not None and choice.obstacle is not None:
+            code = CODE_BY_OBSTACLE[choice.obstacle]
+        if choice is not None and choice.paused_until is not None:
+            pause_s = (choice.paused_until - self.clock.monotonic()).total_seconds()
+            spread_s = self._rng.uniform(*PAUSE_SPREAD_S)
+            return _refused(503, code, failure, retry_after_s=max(0.0, pause_s) + spread_s)
         retry_after_s = self._return_times.after_s(
             job.service, job.route.objective_s, shed=isinstance(failure, dispatch.ShedError)
         )
@@ -997,6 +1005,7 @@
             dispatch_state,
             endpoint,
             lambda statement: self._record_limit(endpoint, statement),
+            lambda notice: self._record_notice(endpoint, notice),
             send_by,
         )
         started_at = self.clock.monotonic()
@@ -1012,7 +1021,10 @@
                 self._paths.on_connect_failed()
             elif isinstance(error, dispatch.ShedError):
                 self._paths.on_response()
-            self._record_failed_attempt(job, endpoint, health, error, started_at)
+            if attempt.pause is None:
+                self._record_failed_attempt(job, endpoint, health, error, started_at)
+            else:
+                self._log_failed_try(job, endpoint.id, error, started_at, health)
             raise
         finally:
             health.in_flight -= 1
@@ -1022,6 +1034,9 @@
             traffic.read += attempt.traffic.read
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
+        if attempt.pause is not None:
+            # An endpoint that wants a pause is not ill.
+            return response
         failed = _is_server_error(response)
         error_rate = self._chooser.error_rate_of(job.service)
         error_rate.record(failed)
@@ -1045,6 +1060,22 @@
                 limit=statement.rate if statement.rate is not None else "",
             )
 
+    def _record_notice(self, endpoint: model.Endpoint, notice: forwarding.Notice) -> None:
+        now = self.clock.monotonic()
+        if notice.is_leaving and self._chooser.record_leaving(endpoint, now):
+            events.emit(
+                events.ENDPOINT_SAYS_IT_LEAVES, endpoint=endpoint.id, service=endpoint.service
+            )
+        if notice.pause is not None and self._chooser.record_pause(endpoint, notice.pause, now):
+            events.emit(
+                events.ENDPOINT_PAUSED,
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                pause_s=round(notice.pause.total_seconds(), 3),
+            )
+        if notice.malformed:
+            events.emit(events.PAUSE_INVALID, endpoint=endpoint.id, value=notice.malformed[:100])
+
     def _record_failed_attempt(
         self,
         job: forwarding.Job,
--- a/flamingotiller/fleet/placement.py
+++ b/flamingotiller/fleet/placement.py
@@ -17,7 +17,7 @@
 import math
 
 from flamingotiller import clock
-from flamingotiller.fleet import model, shares
+from flamingotiller.fleet import model, notices, shares
 
 # Number of endpoints that are tried for an object, and how many local ones come first in the order
 # of an object that stays in the local region; alternatives are compared in docs/MEASUREMENTS.md.
@@ -184,18 +184,25 @@
     Args:
         region: The gateway's region.
         region_by_zone: Region of every availability zone.
+        endpoint_notices: Notices of endpoints to this gateway.
     """
 
-    def __init__(self, region: str, region_by_zone: collections.abc.Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        region: str,
+        region_by_zone: collections.abc.Mapping[str, str],
+        endpoint_notices: notices.Notices,
+    ) -> None:
         self._region = region
         self._region_by_zone = region_by_zone
+        self._notices = endpoint_notices
         self._order_by_key: collections.OrderedDict[
             tuple[str, str, frozenset[str]], list[model.Endpoint]
         ] = collections.OrderedDict()
         self._candidates_by_key: dict[tuple[str, frozenset[str]], list[model.Endpoint]] = {}
 
     def invalidate(self) -> None:
-        """Clears the caches, which depend on the view."""
+        """Clears the caches, which depend on the view and on the endpoints that leave."""
         self._order_by_key.clear()
         self._candidates_by_key.clear()
 
@@ -255,6 +262,7 @@
                 endpoint
                 for endpoint in view.endpoints_of(service)
                 if not endpoint.draining
+                and not self._notices.is_leaving(endpoint)
                 and endpoint.zone not in view.evacuated
                 and (not regions or self._region_by_zone.get(endpoint.zone) in regions)
             ]
@@ -281,6 +289,8 @@
             health = health_by_id.get(endpoint.id)
             if health is not None and not health.usable(now):
                 continue
+            if now < self._notices.paused_until(endpoint):
+                continue
             usable_count += 1
             if endpoint.id not in excluded:
                 preferred.append(endpoint)
--- a/flamingotiller/platform/headers.py
+++ b/flamingotiller/platform/headers.py
@@ -7,7 +7,7 @@
 from flamingotiller.fleet import forwarding, placement
 
 _AFFINITY_COOKIE = "X-Affinity-Key"
-_LIMIT = re.compile(r"^[0-9]{1,9}(\.[0-9]{0,9})?$")
+_NUMBER = re.compile(r"^[0-9]{1,9}(\.[0-9]{0,9})?$", re.ASCII)
 
 
 def parse_load(value: str) -> placement.Load | None:
@@ -20,7 +20,12 @@
 
 def parse_limit(value: str) -> float | None:
     """Parses the requests per second that an endpoint takes; returns None if malformed."""
-    return float(value) if _LIMIT.match(value) else None
+    return float(value) if _NUMBER.match(value) else None
+
+
+def parse_pause(value: str) -> float | None:
+    """Parses the seconds for which an endpoint wants no requests; returns None if malformed."""
+    return float(value) if _NUMBER.match(value.strip()) else None
 
 
 def parse_affinity_key(headers: list[tuple[bytes, bytes]]) -> str:
@@ -48,7 +53,9 @@
     not_run=b"x-not-executed",
     seal=b"x-response-seal",
     limit=b"server-limit",
+    leaving=b"server-leaving",
     parse_load=parse_load,
     parse_limit=parse_limit,
+    parse_pause=parse_pause,
     parse_object=parse_affinity_key,
 )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -138,8 +138,8 @@
 
 
 FLEET_PURE = {
-    "accounting", "branch", "log_membership", "model", "patch", "placement", "presence", "quota",
-    "registry", "spill", "state", "suspects", "table",
+    "accounting", "branch", "log_membership", "model", "notices", "patch", "placement", "presence",
+    "quota", "registry", "spill", "state", "suspects", "table",
 }  # fmt: skip
 
 
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flamingotiller import clock
-from flamingotiller.fleet import model, placement
+from flamingotiller.fleet import model, notices, placement
 
 REGION_BY_ZONE = {"t1": "thrace", "t2": "thrace", "b1": "balkan", "d1": "danube", "d2": "danube"}
 NOW = clock.seconds(50)
@@ -34,7 +34,7 @@
 def preferred(
     region, object_id, fleet=FLEET, health=None, regions=frozenset(), excluded=(), **state
 ):
-    chooser = placement.Placement(region, REGION_BY_ZONE)
+    chooser = placement.Placement(region, REGION_BY_ZONE, notices.Notices())
     order = chooser.order(view(*fleet, **state), "search", object_id, regions)
     return chooser.preferred(order, health or {}, excluded, NOW)
 
@@ -102,7 +102,7 @@
 
 def test_every_endpoint_that_may_serve_is_in_an_objects_order():
     for number in range(40):
-        chooser = placement.Placement("thrace", REGION_BY_ZONE)
+        chooser = placement.Placement("thrace", REGION_BY_ZONE, notices.Notices())
         order = chooser.order(view(*FLEET), "search", str(number), frozenset())
         assert sorted(e.id for e in order) == sorted(e.id for e in FLEET)
 
