Keep the leader's accounts while its disk is full

Cause: while its storage fails a leader counts as none and dropped its state; when the disk had room again in the same term, it opened new accounts as of the beginning of that term and granted every organisation's burst once more.

Change: accounts, grants and suspects stay for the whole term. Who is present and when endpoints were last heard is learned anew, as before.

--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -188,7 +188,9 @@
         self._accounts: dict[str, accounting.Handover] = {}
         self._accounts_at = clock.ZERO
         self._accounts_delay = clock.ZERO
+        # The state of the latest term; not in use while this steward does not lead.
         self._leader_state: _LeaderState | None = None
+        self._leader_state_is_current = False
         self._registry = registry.Registry(config.report_interval, clk.monotonic())
         # Endpoints whose liveness the leader has not been told of yet.
         self._renewed_ids: set[str] = set()
@@ -373,32 +375,47 @@
                 await self._adjust_members(now)
 
     def _get_leader_state(self, now: datetime.timedelta) -> _LeaderState | None:
-        """Returns the leader's state, None if this steward is not the leader. A new term of
-        leadership starts with new state."""
+        """Returns the leader's state, None if this steward is not the leader.
+
+        A new term of leadership starts with new state. If the leader's storage failed and works
+        again in the same term, what has been granted still counts; who is present is learned anew.
+        """
         if not self.log.is_leader:
-            self._leader_state = None
-        elif self._leader_state is None or self._leader_state.since != self.log.leading_since:
-            since = self.log.leading_since or now
-            self._leader_state = _LeaderState(
-                since,
-                presence.GatewayPresence(self._gateway_list.known, now),
-                registry.Registry(self.config.report_interval, now),
-                accounting.Accounts(
-                    self.config.tolerance,
-                    since,
-                    self._accounts,
-                    self._accounts_at,
-                    self._accounts_delay,
-                ),
-                endpoint_limits.GrantIssuer(),
-                suspect_registry.SuspectRegistry(
-                    lambda: self.state,
-                    lambda command: self.log.propose(command, DECISION_TIMEOUT),
-                    self.clock,
-                ),
+            self._leader_state_is_current = False
+            return None
+        since = self.log.leading_since or now
+        earlier = self._leader_state
+        if earlier is None or earlier.since != since:
+            self._leader_state = self._new_leader_state(since, now)
+        elif not self._leader_state_is_current:
+            self._leader_state = dataclasses.replace(
+                earlier,
+                presence=presence.GatewayPresence(self._gateway_list.known, now),
+                registry=registry.Registry(self.config.report_interval, now),
             )
+        self._leader_state_is_current = True
         return self._leader_state
 
+    def _new_leader_state(self, since: datetime.timedelta, now: datetime.timedelta) -> _LeaderState:
+        return _LeaderState(
+            since,
+            presence.GatewayPresence(self._gateway_list.known, now),
+            registry.Registry(self.config.report_interval, now),
+            accounting.Accounts(
+                self.config.tolerance,
+                since,
+                self._accounts,
+                self._accounts_at,
+                self._accounts_delay,
+            ),
+            endpoint_limits.GrantIssuer(),
+            suspect_registry.SuspectRegistry(
+                lambda: self.state,
+                lambda command: self.log.propose(command, DECISION_TIMEOUT),
+                self.clock,
+            ),
+        )
+
     def _require_leader_state(self) -> _LeaderState:
         leader_state = self._get_leader_state(self.clock.monotonic())
         if leader_state is None:
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -11,7 +11,7 @@
 import steward_cluster
 
 from flamingotiller import clock, errors, events, journal, log_task, server
-from flamingotiller.fleet import model, state, steward
+from flamingotiller.fleet import accounting, model, state, steward
 from flamingotiller.platform import calls
 
 StewardCluster = steward_cluster.StewardCluster
@@ -467,6 +467,56 @@
     asyncio.run(scenario())
 
 
+def test_leader_whose_disk_was_full_still_counts_what_it_has_granted(tmp_path, monkeypatch):
+    """It opened new accounts in the same term and granted an organisation's burst once more."""
+    monkeypatch.setattr(log_task, "STORAGE_RETRY_INTERVAL", clock.seconds(0.01))
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            organisation = model.Organisation("o", (), 0, 10.0, 100.0, frozenset())
+            items = {"organisation/o": model.to_document(organisation)}
+            update_of_rate = steward.ConfigurationUpdate(1, 0, "d", items, {"version": "r1"})
+            await cluster.retry(lambda n: n.configure(update_of_rate))
+            # Accounts of a term open slowly; only the leader grants here.
+            leader.log.leading_since -= clock.seconds(60)
+            leader_state = leader._require_leader_state()
+
+            async def draw(number):
+                draw = accounting.Draw("elsewhere", 0, 1000, number=number)
+                body = {"organisation": "o", "draw": dataclasses.astuple(draw)}
+                return (await leader._on_branch_draw(body))["grant"][0]
+
+            await polling.wait_until(
+                lambda: leader.log.holds_leader_lease(leader.clock.monotonic())
+            )
+            granted_at = leader.clock.monotonic()
+            assert await draw(1) >= 90
+            # The disk is full for so short a time that no other steward takes the lead.
+
+            def fail():
+                raise errors.SyncFailedError("no space left", step="sync")
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(leader.log.replica.store, "rewrite", fail)
+                leader.log.storage_failed = True
+                assert leader._get_leader_state(leader.clock.monotonic()) is None
+                await asyncio.sleep(0.05)
+            await polling.wait_until(lambda: leader.log.is_leader)
+            assert leader._require_leader_state() is not None
+            assert leader._leader_state.since == leader_state.since
+            await polling.wait_until(
+                lambda: leader.log.holds_leader_lease(leader.clock.monotonic())
+            )
+            elapsed_s = (leader.clock.monotonic() - granted_at).total_seconds()
+            # In a window all that the contract allows may be granted again, evenly.
+            window_s = leader.config.tolerance.window.total_seconds()
+            refill = (10.0 * window_s + 100.0) / window_s * elapsed_s
+            assert await draw(2) <= 1.2 * refill + 1
+
+    asyncio.run(scenario())
+
+
 def test_order_in_progress_is_answered_when_its_steward_stops(tmp_path):
     """A stop closed the connections of orders and of other stewards' calls at once."""
 
