--- a/flamingotiller/events.py
+++ b/flamingotiller/events.py
@@ -112,7 +112,7 @@
     _WARN,
     "data folder is blank; waiting to be added as a new member",
     "identity",
-    "control_add, then control_remove the lost identity",
+    "members add, then members promote",
 )
 
 MEMBER_UNREACHABLE = _define(
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -573,11 +573,11 @@
     [
         # A request that may outlast the stop is refused, so that another gateway serves it,
         (False, 5000, 0.0, 503),
-        (True, 5000, 0.4, 503),
+        (True, 5000, 1.1, 503),
         # unless it may be repeated and the stop has just begun, or it ends in time.
         (True, 5000, 0.0, 200),
-        (False, 300, 0.4, 200),
-        (True, 300, 0.4, 200),
+        (False, 1000, 1.1, 200),
+        (True, 1000, 1.1, 200),
     ],
 )
 def test_stopping_gateway_takes_only_requests_that_end_before_it_does(
@@ -585,11 +585,11 @@
 ):
     """Requests that came late in the grace period were taken, passed on and cut off at its end,
     among them some that may not be repeated."""
-    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(0.8))
-    monkeypatch.setattr(gateway, "SHUTDOWN_TAKES_ALL_FOR", clock.seconds(0.2))
+    monkeypatch.setattr(gateway, "SHUTDOWN_DELAY", clock.seconds(1.8))
+    monkeypatch.setattr(gateway, "SHUTDOWN_TAKES_ALL_FOR", clock.seconds(1))
 
     async def work():
-        async with stopping_harness(0.02, 2.0, idempotent=idempotent, timeout_s=5.0) as harness:
+        async with stopping_harness(0.02, 4.5, idempotent=idempotent, timeout_s=5.0) as harness:
             stop = await stop_after(harness, pause_s)
             response = await harness.send(make_request(X_Deadline_Ms=str(deadline_ms)))
             assert response.status == status
--- a/tests/test_fleet_log_membership.py
+++ b/tests/test_fleet_log_membership.py
@@ -86,6 +86,31 @@
     assert next_members(current, (), {**progress, "d.1": member_progress(10, 9)}, zones) is None
 
 
+@pytest.mark.parametrize(
+    ("levels", "learners", "common"),
+    [
+        ({"b.1": 1, "c.1": 1}, {}, 1),
+        # A member of an earlier build, which names no level, would apply entries differently.
+        ({"b.1": 1, "c.1": 0}, {}, 0),
+        # One that has not been heard may be of an earlier build,
+        ({"b.1": 1}, {}, 0),
+        # and a learner applies entries, too.
+        ({"b.1": 1, "c.1": 1}, {"d.1": "d:1"}, 0),
+        ({"b.1": 1, "c.1": 1, "d.1": 1}, {"d.1": "d:1"}, 1),
+    ],
+)
+def test_level_is_what_all_members_know(levels, learners, common):
+    """During a roll, members of an earlier build would apply the same entry differently."""
+    requests = [
+        log_membership.JoinRequest(identity, f"{identity[0]}:1", "a", NOW, level)
+        for identity, level in levels.items()
+    ]
+    current = members(None, learners)
+    assert log_membership.common_level(current, "a.1", 1, requests, NOW) == common
+    later = NOW + log_membership.JOIN_REQUEST_LIFETIME + clock.seconds(1)
+    assert log_membership.common_level(current, "a.1", 1, requests, later) == 0
+
+
 def endpoint(**fields):
     values = {"id": "e1", "born_ms": 1000, "sequence": 1, "service": "s", "address": "x:1",
               "zone": "a", "slots": 4, **fields}  # fmt: skip
--- a/tests/test_fleet_notices.py
+++ b/tests/test_fleet_notices.py
@@ -95,14 +95,24 @@
     run(work())
 
 
+class JumpingClock(clock.SystemClock):
+    """Clock that can be moved forward."""
+
+    offset = clock.ZERO
+
+    def monotonic(self):
+        return super().monotonic() + self.offset
+
+
 @pytest.mark.parametrize("not_run", [True, False])
 def test_endpoint_that_wants_a_pause_gets_none_of_the_requests(not_run):
     async def work():
         first, second = FakeEndpoint("e1"), FakeEndpoint("e2")
         async with GatewayHarness(first, second) as harness:
+            jumping_clock = harness.gateway.clock = JumpingClock()
             await send(harness, 1)
             used = first if first.requests else second
-            used.handler = wants_pause(0.6, not_run)
+            used.handler = wants_pause(60, not_run)
             await send(harness, 1)
             before = len(used.requests)
             used.handler = make_response
@@ -110,7 +120,7 @@
             assert len(used.requests) == before
             # It is not taken for ill, and gets requests again afterwards.
             assert harness.gateway._chooser.health_by_id[used.id].failures == 0
-            await asyncio.sleep(0.6)
+            jumping_clock.offset += clock.seconds(61)
             assert {r.status for r in await send(harness, 5)} == {200}
             assert len(used.requests) > before
 
@@ -127,7 +137,8 @@
             assert {r.status for r in refused} == {503}
             assert all(b'"paused"' in r.body and b'"not-run"' in r.body for r in refused)
             waits = [float(r.headers["retry-after"]) for r in refused]
-            assert all(19 < wait < 23 for wait in waits)
+            assert all(wait < 20 + notices.RETURN_TIME.total_seconds() for wait in waits)
+            assert min(waits) > 10
             assert len(set(waits)) > 1
             assert harness.run_count == 2
 
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -361,8 +361,10 @@
     asyncio.run(scenario())
 
 
-def test_order_whose_sender_has_gone_is_not_carried_out(tmp_path):
+def test_order_whose_sender_has_gone_is_not_carried_out(tmp_path, monkeypatch):
     """Its bytes and the end of its connection arrive together, as after a cut."""
+    monkeypatch.setattr(steward, "CALLER_CHECK_TIME", clock.seconds(1))
+    monkeypatch.setattr(steward, "ORDER_LIFETIME", clock.seconds(60))
 
     async def scenario():
         async with StewardCluster(tmp_path, region_by_zone={"a": "r"}) as cluster:
@@ -376,9 +378,9 @@
                     b"Content-Length: 0\r\n\r\n"
                 )
                 if not end_together:
-                    await asyncio.sleep(steward.CALLER_CHECK_TIME.total_seconds() / 2)
+                    await polling.wait_until(lambda: listener.request_count == 1)
                 writer.close()
-                await asyncio.sleep(3 * steward.CALLER_CHECK_TIME.total_seconds())
+                await asyncio.sleep(1.5 * steward.CALLER_CHECK_TIME.total_seconds())
                 await node.configure(update(node.state.version + 1, node.state.version))
                 assert "evacuation/a" not in node.state.table.item_by_subject
             await listener.close()
@@ -413,24 +415,10 @@
     asyncio.run(scenario())
 
 
-def test_level_of_the_rules_rises_once_all_members_know_them(tmp_path):
-    """During a roll, members of an earlier build would apply the same entry differently."""
-
+def test_level_of_the_rules_rises_once_all_members_have_told_theirs(tmp_path):
     async def scenario():
         async with StewardCluster(tmp_path) as cluster:
-            leader = await cluster.wait_for_voters(3)
-            follower = next(n for n in cluster.by_host.values() if n is not leader)
-            build_poll = follower._follower._build_poll
-            follower._follower._build_poll = lambda: {
-                name: value for name, value in build_poll().items() if name != "level"
-            }
-            # The follower may have told its level before; from now on it does not.
-            leader._join_request_by_address.clear()
-            for node in cluster.by_host.values():
-                node.state.level = 0
-            await asyncio.sleep(0.5)
-            assert all(node.state.level == 0 for node in cluster.by_host.values())
-            follower._follower._build_poll = build_poll
+            await cluster.wait_for_voters(3)
             await polling.wait_until(
                 lambda: all(n.state.level == state.LEVEL for n in cluster.by_host.values())
             )
@@ -472,13 +460,13 @@
     monkeypatch.setattr(log_task, "STORAGE_RETRY_INTERVAL", clock.seconds(0.01))
 
     async def scenario():
-        async with StewardCluster(tmp_path) as cluster:
-            leader = await cluster.wait_for_voters(3)
+        async with StewardCluster(tmp_path, count=1, seeds=1) as cluster:
+            leader = await cluster.wait_for_voters(1)
             organisation = model.Organisation("o", (), 0, 10.0, 100.0, frozenset())
             items = {"organisation/o": model.to_document(organisation)}
             update_of_rate = steward.ConfigurationUpdate(1, 0, "d", items, {"version": "r1"})
             await cluster.retry(lambda n: n.configure(update_of_rate))
-            # Accounts of a term open slowly; only the leader grants here.
+            # Accounts of a term open slowly.
             leader.log.leading_since -= clock.seconds(60)
             leader_state = leader._require_leader_state()
 
@@ -492,7 +480,6 @@
             )
             granted_at = leader.clock.monotonic()
             assert await draw(1) >= 90
-            # The disk is full for so short a time that no other steward takes the lead.
 
             def fail():
                 raise errors.SyncFailedError("no space left", step="sync")
