Leave an order undecided if an earlier build takes the lead meanwhile

Cause: a steward asks the leader for its time and then sends it the order. If a steward of an earlier build took the lead between the two, it answered 400 to an operation that it does not know, and the operator was told that the order is invalid; after a 400 it is not sent again.

Change: that answer counts as undecided (503), as any failure of the leader does.

Evidence: test_order_is_undecided_if_an_earlier_build_takes_the_lead_meanwhile fails before (InvalidInputError) and passes now.

--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -862,7 +862,14 @@
             "process": leader["process"],
             "expires_s": leader_expires_at.total_seconds(),
         }
-        return await self._execute("order", arguments)
+        try:
+            return await self._execute("order", arguments)
+        except errors.InvalidInputError as error:
+            # A steward of an earlier build has taken the lead since; nothing is wrong with the
+            # order, so its caller may send it again.
+            raise errors.UnavailableError(
+                f"the leader does not take orders that expire: {error}", step="order"
+            ) from error
 
     def _require_before(self, expires_at: datetime.timedelta) -> None:
         if self.clock.monotonic() > expires_at:
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -361,6 +361,21 @@
     asyncio.run(scenario())
 
 
+def test_order_is_undecided_if_an_earlier_build_takes_the_lead_meanwhile(tmp_path, monkeypatch):
+    """It would be answered with 400, after which operators do not send an order again."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            await polling.wait_until(lambda: follower._leader_address() == leader.config.address)
+            monkeypatch.delitem(steward._OPERATIONS, "order")
+            with pytest.raises(errors.UnavailableError):
+                await follower.evacuate("a", True, follower.clock.monotonic())
+
+    asyncio.run(scenario())
+
+
 def test_order_whose_sender_has_gone_is_not_carried_out(tmp_path, monkeypatch):
     """Its bytes and the end of its connection arrive together, as after a cut."""
     monkeypatch.setattr(steward, "CALLER_CHECK_TIME", clock.seconds(1))
