--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -119,7 +119,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Notice:
-    """What a response says of the endpoint's next time.
+    """What a response says of whether the endpoint takes further requests.
 
     Attributes:
         is_leaving: Whether the endpoint takes no more requests in this lifetime.
@@ -429,7 +429,7 @@
         endpoint: The endpoint.
         on_limit: Called with what a response says of the endpoint's limit, as soon as its head has
             arrived.
-        on_notice: Called with what a response says of the endpoint's next time, likewise.
+        on_notice: Called with what a response says of further requests, likewise.
         send_by: Time after which the request may not be sent any more.
 
     Attributes:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -1035,7 +1035,7 @@
             if attempt.load is not None:
                 health.on_load_report(attempt.load, self.clock.monotonic())
         if attempt.pause is not None:
-            # An endpoint that wants a pause is not ill.
+            # A requested pause is not a failure of the endpoint.
             return response
         failed = _is_server_error(response)
         error_rate = self._chooser.error_rate_of(job.service)
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -845,14 +845,14 @@
         """
         now = self.clock.monotonic()
         expires_at = (now if arrived_after is None else arrived_after) + ORDER_LIFETIME
-        # If the caller has gone, this is cancelled meanwhile.
+        # The end of the connection cancels this handler.
         await asyncio.sleep(CALLER_CHECK_TIME.total_seconds())
         if self.log.is_leader:
             return await self._propose(command, expires_at)
         try:
             leader = await self._execute("clock", None)
         except errors.InvalidInputError:
-            # A leader of an earlier build does not tell its time.
+            # Leaders of earlier builds do not know this operation.
             self._require_before(expires_at)
             return await self._execute("propose", command)
         # The leader's clock showed its answer's time at the latest now.
