Review: a script that fails for another reason says that it could not run

An unexpected error ended a script with 1, which stands for a broken rule, and a script that was told to stop left its processes behind. Both end with 2 now, and all processes are ended.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,8 +2,8 @@
 
 Some backends answer a part of their requests with a head of status 500 and a body that goes on
 until the caller closes, one newline a chunk. Consumers wait for up to six seconds, and the routes'
-timeout is one second. Counted are the requests without an answer at the timeout, and those of them without
-one half a second later. With TROUBLE=0 all answers end.
+timeout is one second. Counted are the requests without an answer at the timeout, and those of them
+without one half a second later. With TROUBLE=0 all answers end.
 """
 
 from __future__ import annotations
--- a/review/stand_ins_2/rig.py
+++ b/review/stand_ins_2/rig.py
@@ -616,13 +616,17 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
 
     async def bounded() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes are ended also if the script itself is told to stop.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110):
             return await case(folder, record)
 
     try:
         record.write("begins", trouble=TROUBLE)
         verdict = BROKEN if asyncio.run(bounded()) else HELD
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001 - no verdict either
         record.write("could not run", error=repr(error))
         print(f"could not run: {error!r}", file=sys.stderr)
         verdict = COULD_NOT_RUN
