Count gateways' and endpoints' silence on across leaders

Cause: a new leader counted every gateway that the one before it knew as polled at the start of its own term, also those that look-ups had left out by then. A leader whose storage failed and came back did the same; endpoints that had stopped reporting were counted anew likewise.

Change: responses to stewards' polls name the silences, and whoever leads next counts on from there. Look-ups go by the last poll; a gateway counts as a sender by the time in which a leader could have heard it. A poll counts from its arrival, which may be before a pause of the process, and the end of a long poll is no further sign of life.

--- a/flamingotiller/fleet/presence.py
+++ b/flamingotiller/fleet/presence.py
@@ -20,6 +20,9 @@
 LISTED_FOR = clock.seconds(3)
 # How long a gateway counts after its last poll, because it may still be sending requests.
 COUNTED_FOR = clock.seconds(5)
+# The leader tells the other stewards of gateways that are silent for longer than this. It is more
+# than the usual time between two polls, with their way to the leader.
+REPORTED_SILENCE = clock.seconds(1)
 # Gateways that one gateway is told of, to relay requests to.
 MAX_RELAYS = 8
 
@@ -121,17 +124,54 @@
 EMPTY_GATEWAY_LIST = GatewayList("", (), ())
 
 
+@dataclasses.dataclass(frozen=True)
+class Observation:
+    """What a leader knew of gateways, as a later leader takes it over.
+
+    Attributes:
+        known: Gateways that may be sending.
+        silence_by_name: Time since the last poll; those left out have polled recently.
+        at: Monotonic time of this process at which the silences were so long.
+    """
+
+    known: tuple[Gateway, ...] = ()
+    silence_by_name: collections.abc.Mapping[str, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
+    at: datetime.timedelta = clock.ZERO
+
+    def silence(self, name: str) -> datetime.timedelta:
+        """Returns how long a gateway was silent, zero if it had polled recently."""
+        return self.silence_by_name.get(name, clock.ZERO)
+
+
+def least_silences(gateway_list: GatewayList) -> dict[str, datetime.timedelta]:
+    """Returns how long gateways were silent at least when a list was made, as far as it shows."""
+    present = {gateway.name for gateway in gateway_list.present}
+    return {g.name: LISTED_FOR for g in gateway_list.known if g.ready and g.name not in present}
+
+
 class GatewayPresence:
     """Tracks the gateways that poll a steward; the leader also tracks those of other stewards.
 
+    Two times are kept for each gateway. Look-ups list it by the time of its last poll, whoever led
+    then, because the time for which they may name a dead gateway counts from its death. It is
+    counted as a sender by the time for which a leader could have heard it and did not.
+
     Args:
-        known: Gateways known to an earlier leader; they count as polled at ``now``.
+        earlier: What is known from an earlier leader.
         now: Monotonic time.
     """
 
-    def __init__(self, known: collections.abc.Iterable[Gateway], now: datetime.timedelta) -> None:
-        self._gateway_by_name = {gateway.name: gateway for gateway in known}
-        self._polled_at_by_name = dict.fromkeys(self._gateway_by_name, now)
+    def __init__(self, earlier: Observation, now: datetime.timedelta) -> None:
+        self._began_at = now
+        self._gateway_by_name = {gateway.name: gateway for gateway in earlier.known}
+        self._polled_at_by_name = {
+            name: earlier.at - earlier.silence(name) for name in self._gateway_by_name
+        }
+        self._unheard_since_by_name = {
+            name: now - earlier.silence(name) for name in self._gateway_by_name
+        }
         self._gateway_list = EMPTY_GATEWAY_LIST
 
     def record(self, gateway: Gateway, at: datetime.timedelta) -> None:
@@ -139,13 +179,31 @@
         if at >= self._polled_at_by_name.get(gateway.name, at):
             self._gateway_by_name[gateway.name] = gateway
             self._polled_at_by_name[gateway.name] = at
+            unheard_since = self._unheard_since_by_name.get(gateway.name, at)
+            self._unheard_since_by_name[gateway.name] = max(at, unheard_since)
 
     def _drop_expired(self, now: datetime.timedelta) -> None:
-        expired = [n for n, at in self._polled_at_by_name.items() if now - at > COUNTED_FOR]
+        expired = [n for n, at in self._unheard_since_by_name.items() if now - at > COUNTED_FOR]
         for name in expired:
+            del self._unheard_since_by_name[name]
             del self._polled_at_by_name[name]
             del self._gateway_by_name[name]
 
+    def reported_silences(
+        self, gateway_list: GatewayList, now: datetime.timedelta
+    ) -> dict[str, datetime.timedelta]:
+        """Returns how long gateways of a list are silent: those that are so for
+        ``REPORTED_SILENCE``, and those that have not polled since this leader's term began."""
+        self._drop_expired(now)
+        reported = {}
+        for gateway in gateway_list.known:
+            polled_at = self._polled_at_by_name.get(gateway.name)
+            if polled_at is None:
+                reported[gateway.name] = COUNTED_FOR
+            elif polled_at <= self._began_at or now - polled_at > REPORTED_SILENCE:
+                reported[gateway.name] = now - polled_at
+        return reported
+
     def silences(self, now: datetime.timedelta) -> list[tuple[Gateway, datetime.timedelta]]:
         """Returns the gateways, each with the time since its last poll."""
         self._drop_expired(now)
--- a/flamingotiller/fleet/registry.py
+++ b/flamingotiller/fleet/registry.py
@@ -18,6 +18,11 @@
 # Report intervals without a report after which an endpoint counts as silent. Reports may be seconds
 # late, and gateways detect a dead endpoint much earlier by its broken connections.
 SILENCE_INTERVALS = 4
+# Report intervals for which a new leader listens before it takes an endpoint for silent that was so
+# before; without a leader its reports may have been refused.
+LISTENING_INTERVALS = 1.5
+# The leader tells the other stewards of endpoints that are silent for so many report intervals.
+REPORTED_INTERVALS = 2
 # A cold period that ends this much later than the recorded one needs a log entry.
 COLD_TOLERANCE = clock.seconds(0.4)
 
@@ -35,12 +40,24 @@
 
     Args:
         interval: Time between an endpoint's reports.
-        now: Monotonic time; no silence counts from before it.
+        now: Monotonic time; no silence counts from before it but the earlier ones.
+        earlier_silence_by_id: How long endpoints had been silent when the leader before this one
+            was last heard.
     """
 
-    def __init__(self, interval: datetime.timedelta, now: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        interval: datetime.timedelta,
+        now: datetime.timedelta,
+        earlier_silence_by_id: collections.abc.Mapping[str, datetime.timedelta] | None = None,
+    ) -> None:
+        self._interval = interval
         self._max_silence = SILENCE_INTERVALS * interval
         self._started_at = now
+        longest = (SILENCE_INTERVALS - LISTENING_INTERVALS) * interval
+        self._earlier_silence_by_id = {
+            id_: min(silence, longest) for id_, silence in (earlier_silence_by_id or {}).items()
+        }
         self._reported_at_by_id: dict[str, datetime.timedelta] = {}
         self._sequence_by_lifetime: dict[tuple[str, int], int] = {}
         self._cold_until_by_id: dict[str, datetime.timedelta] = {}
@@ -87,14 +104,26 @@
         self, fleet_state: state.FleetState, now: datetime.timedelta
     ) -> list[model.Endpoint]:
         """Returns the endpoints whose last report is too long ago."""
-        if now - self._started_at < self._max_silence:
-            return []
         return [
             endpoint
             for endpoint in fleet_state.endpoints()
-            if now - self._reported_at_by_id.get(endpoint.id, self._started_at) > self._max_silence
+            if self._silence(endpoint.id, now) > self._max_silence
         ]
 
+    def reported_silences(
+        self, fleet_state: state.FleetState, now: datetime.timedelta
+    ) -> dict[str, datetime.timedelta]:
+        """Returns how long endpoints are silent, for those silent for ``REPORTED_INTERVALS``."""
+        silences = {e.id: self._silence(e.id, now) for e in fleet_state.endpoints()}
+        least = REPORTED_INTERVALS * self._interval
+        return {id_: silence for id_, silence in silences.items() if silence > least}
+
+    def _silence(self, id_: str, now: datetime.timedelta) -> datetime.timedelta:
+        reported_at = self._reported_at_by_id.get(id_)
+        if reported_at is not None and reported_at >= self._started_at:
+            return now - reported_at
+        return now - self._started_at + self._earlier_silence_by_id.get(id_, clock.ZERO)
+
     def prune(self, now: datetime.timedelta) -> None:
         """Forgets endpoints that have not reported for so long that they count as silent."""
         expired = {
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -173,7 +173,10 @@
         self._process_id = secrets.token_hex(8)
         self._state_changed = asyncio.Event()
         self._gateway_list = presence.EMPTY_GATEWAY_LIST
-        self._local_gateways = presence.GatewayPresence((), clk.monotonic())
+        # What the leader knows of gateways, and for how long endpoints have been silent there.
+        self._observation = presence.Observation()
+        self._endpoint_silence_by_id: dict[str, datetime.timedelta] = {}
+        self._local_gateways = presence.GatewayPresence(presence.Observation(), clk.monotonic())
         self._branch = branch.Branch(f"{config.name}.{secrets.token_hex(4)}", config.tolerance)
         self._pending_draw_by_organisation: dict[str, asyncio.Future[None]] = {}
         # Draws sent with the poll in flight.
@@ -311,6 +314,7 @@
         self._leader_takes_renewals = response.get("takes_renewals", False)
         if response["roll"] is not None:
             self._set_gateway_list(presence.GatewayList.from_wire(response["roll"]))
+        self._take_observation(response.get("silences"), now)
         if response["accounts"] is not None:
             self._accounts, self._accounts_at = response["accounts"], now
             # The copy was made after the poll was sent.
@@ -322,6 +326,27 @@
         self._unconfirmed_polls.append((response["revision"], as_of))
         self._update_state_confirmed_at()
 
+    def _take_observation(
+        self, silences: dict[str, dict[str, float]] | None, now: datetime.timedelta
+    ) -> None:
+        """Keeps what the leader knows of silences, in case this steward leads next.
+
+        Args:
+            silences: Seconds by name of the gateway and by id of the endpoint, None from a leader
+                of an earlier build.
+            now: Monotonic time.
+        """
+        if silences is None:
+            silence_by_name = presence.least_silences(self._gateway_list)
+            self._endpoint_silence_by_id = {}
+        else:
+            silence_by_name = {n: clock.seconds(s) for n, s in silences["gateways"].items()}
+            self._endpoint_silence_by_id = {
+                id_: clock.seconds(s) for id_, s in silences["endpoints"].items()
+            }
+        known = self._gateway_list.known
+        self._observation = presence.Observation(known, silence_by_name, now)
+
     def _on_poll_failed(self) -> None:
         for organisation, draw in self._polled_draws.items():
             self._branch.ledger(organisation).record_lost_draw(draw)
@@ -369,16 +394,29 @@
             leader_state.registry.prune(now)
             if now - leader_state.since >= GATEWAY_DISCOVERY_TIME or not self._gateway_list.present:
                 self._set_gateway_list(leader_state.presence.gateway_list(now))
+            self._observe(leader_state, now)
             with contextlib.suppress(errors.UnavailableError, errors.StorageError):
                 await self._remove_silent_endpoints(leader_state, now)
                 await leader_state.suspects.expire()
                 await self._adjust_members(now)
 
+    def _observe(self, leader_state: _LeaderState, now: datetime.timedelta) -> None:
+        """Notes what this steward knows of silences as the leader, in case it leads again."""
+        # Endpoints could not be heard while this process was suspended.
+        leader_state.registry.count_silence_from(self._server.resumed_at(now))
+        self._observation = presence.Observation(
+            self._gateway_list.known,
+            leader_state.presence.reported_silences(self._gateway_list, now),
+            now,
+        )
+        self._endpoint_silence_by_id = leader_state.registry.reported_silences(self.state, now)
+
     def _get_leader_state(self, now: datetime.timedelta) -> _LeaderState | None:
         """Returns the leader's state, None if this steward is not the leader.
 
-        A new term of leadership starts with new state. If the leader's storage failed and works
-        again in the same term, what has been granted still counts; who is present is learned anew.
+        A new term of leadership starts with new state, and with what is known of silences. If the
+        leader's storage failed and works again in the same term, what has been granted still
+        counts; who is present is learned anew.
         """
         if not self.log.is_leader:
             self._leader_state_is_current = False
@@ -390,8 +428,8 @@
         elif not self._leader_state_is_current:
             self._leader_state = dataclasses.replace(
                 earlier,
-                presence=presence.GatewayPresence(self._gateway_list.known, now),
-                registry=registry.Registry(self.config.report_interval, now),
+                presence=presence.GatewayPresence(self._observation, now),
+                registry=self._new_registry(now),
             )
         self._leader_state_is_current = True
         return self._leader_state
@@ -399,8 +437,8 @@
     def _new_leader_state(self, since: datetime.timedelta, now: datetime.timedelta) -> _LeaderState:
         return _LeaderState(
             since,
-            presence.GatewayPresence(self._gateway_list.known, now),
-            registry.Registry(self.config.report_interval, now),
+            presence.GatewayPresence(self._observation, now),
+            self._new_registry(now),
             accounting.Accounts(
                 self.config.tolerance,
                 since,
@@ -416,6 +454,9 @@
             ),
         )
 
+    def _new_registry(self, now: datetime.timedelta) -> registry.Registry:
+        return registry.Registry(self.config.report_interval, now, self._endpoint_silence_by_id)
+
     def _require_leader_state(self) -> _LeaderState:
         leader_state = self._get_leader_state(self.clock.monotonic())
         if leader_state is None:
@@ -430,8 +471,6 @@
     async def _remove_silent_endpoints(
         self, leader_state: _LeaderState, now: datetime.timedelta
     ) -> None:
-        # Endpoints could not be heard while this process was suspended.
-        leader_state.registry.count_silence_from(self._server.resumed_at(now))
         for endpoint in leader_state.registry.silent(self.state, now):
             command = {
                 "kind": "leave",
@@ -500,12 +539,18 @@
     # Calls from other instances
 
     async def _serve_peer(self, request: server.Request, reply: server.Reply) -> None:
-        handler = _PEER_ROUTES.get(f"{request.method} {request.path}")
-        if handler is None:
+        route = f"{request.method} {request.path}"
+        handler = _PEER_ROUTES.get(route)
+        if handler is None and route != _FOLLOW_ROUTE:
             raise errors.NotFoundError(f"no such route: {request.path}", step="route")
         body = await request.read_json()
         try:
-            response = await handler(self, body)
+            if handler is None:
+                # What arrived before a pause of this process tells of that time.
+                heard_at = request.arrived_after or self.clock.monotonic()
+                response = await self._on_follow(body, heard_at)
+            else:
+                response = await handler(self, body)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise errors.InvalidInputError(
                 f"malformed call: {error!r}", step=request.path, peer=request.peer
@@ -525,27 +570,33 @@
         self._require_leader_state()
         return await _OPERATIONS[body["operation"]](self, body["arguments"])
 
-    async def _on_follow(self, body: typing.Any) -> typing.Any:
-        return await (self._on_steward_poll if "identity" in body else self._on_gateway_poll)(body)
+    async def _on_follow(self, body: typing.Any, heard_at: datetime.timedelta) -> typing.Any:
+        answer = self._on_steward_poll if "identity" in body else self._on_gateway_poll
+        return await answer(body, heard_at)
 
-    async def _on_steward_poll(self, body: typing.Any) -> typing.Any:
+    async def _on_steward_poll(self, body: typing.Any, heard_at: datetime.timedelta) -> typing.Any:
         """Answers another steward's poll: the revision that it has to reach, token grants, the
-        gateways present, and a copy of the accounts if its own is old."""
+        gateways present, and a copy of the accounts if its own is old.
+
+        Args:
+            body: The poll.
+            heard_at: Monotonic time that the poll tells of at the earliest.
+        """
         leader_state = self._require_leader_state()
         # The latest identity at an address counts: an earlier one there has lost its disk.
         self._join_request_by_address[body["address"]] = log_membership.JoinRequest(
             body["identity"],
             body["address"],
             body["zone"],
-            self.clock.monotonic(),
+            heard_at,
             int(body.get("level", 0)),
         )
         now = self.clock.monotonic()
         for document, silence_s in body["gateways"]:
             leader_state.presence.record(
-                presence.Gateway(**document), now - clock.seconds(silence_s)
+                presence.Gateway(**document), heard_at - clock.seconds(silence_s)
             )
-        leader_state.registry.renew(body.get("renewed", ()), now)
+        leader_state.registry.renew(body.get("renewed", ()), heard_at)
         holds_lease = self.log.holds_leader_lease(now)
         accounts_are_old = body["accounts_age_s"] > ACCOUNTS_TRANSFER_INTERVAL.total_seconds()
         grants = {
@@ -569,12 +620,32 @@
             "grants": {name: dataclasses.astuple(grant) for name, grant in grants.items()},
             "accounts": accounts,
             "takes_renewals": True,
+            "silences": self._silences_to_wire(leader_state),
         }
 
-    async def _on_gateway_poll(self, body: typing.Any) -> typing.Any:
-        """Answers a gateway's poll: changed items, token grants, and its place among gateways."""
+    def _silences_to_wire(self, leader_state: _LeaderState) -> dict[str, dict[str, float]]:
+        """Returns the silences, in seconds, that a later leader takes over from this one."""
+        now = self.clock.monotonic()
+        gateways = leader_state.presence.reported_silences(self._gateway_list, now)
+        age = now - self._observation.at
+        return {
+            "gateways": {name: silence.total_seconds() for name, silence in gateways.items()},
+            "endpoints": {
+                id_: (silence + age).total_seconds()
+                for id_, silence in self._endpoint_silence_by_id.items()
+            },
+        }
+
+    async def _on_gateway_poll(self, body: typing.Any, heard_at: datetime.timedelta) -> typing.Any:
+        """Answers a gateway's poll: changed items, token grants, and its place among gateways.
+
+        Args:
+            body: The poll.
+            heard_at: Monotonic time that the poll tells of at the earliest. The wait for a change
+                tells nothing of the gateway.
+        """
         gateway = presence.Gateway(**body["gateway"])
-        self._local_gateways.record(gateway, self.clock.monotonic())
+        self._local_gateways.record(gateway, heard_at)
         self._require_state_age(MAX_STATE_AGE)
         # A gateway that polled another steward before may have a newer revision for a moment.
         if body["revision"] and self.state.table.revision <= body["revision"]:
@@ -584,7 +655,6 @@
                     await state_changed.wait()
                     await asyncio.sleep(CHANGE_BATCH_DELAY.total_seconds())
         now = self.clock.monotonic()
-        self._local_gateways.record(gateway, now)
         self._require_state_age(MAX_STATE_AGE)
         grants = {
             organisation: dataclasses.astuple(
@@ -1082,11 +1152,11 @@
     suspects: suspect_registry.SuspectRegistry
 
 
+_FOLLOW_ROUTE = "POST /v1/follow"
 _PEER_ROUTES = {
     f"POST {replica_transport.MESSAGE_PATH}": Steward._on_replica,
     f"POST {replica_transport.PART_PATH}": Steward._on_replica_part,
     "POST /v1/execute": Steward._on_execute,
-    "POST /v1/follow": Steward._on_follow,
     "POST /v1/draw": Steward._on_draw,
     "POST /v1/branch-draw": Steward._on_branch_draw,
     "POST /v1/endpoint-grant": Steward._on_endpoint_grant,
--- a/tests/test_fleet_log_membership.py
+++ b/tests/test_fleet_log_membership.py
@@ -157,8 +157,13 @@
     return presence.Gateway(name, f"{name}:80", "a", "thrace", ready)
 
 
+def observed(*names, silences=None, at=NOW):
+    known = tuple(gateway(name) for name in names)
+    return presence.Observation(known, silences or {}, at)
+
+
 def test_stopping_and_silent_gateways_are_not_listed_as_present():
-    gateways = presence.GatewayPresence([gateway("old")], NOW)
+    gateways = presence.GatewayPresence(observed("old"), NOW)
     gateways.record(gateway("g1"), NOW)
     gateways.record(gateway("g2", ready=False), NOW)
     first = gateways.gateway_list(NOW)
@@ -179,13 +184,81 @@
 
 
 def test_latest_report_counts_for_a_gateway_that_moved_to_another_steward():
-    gateways = presence.GatewayPresence([], NOW)
+    gateways = presence.GatewayPresence(observed(), NOW)
     gateways.record(gateway("g1", ready=False), NOW + clock.seconds(1))
     gateways.record(gateway("g1"), NOW)
     assert gateways.gateway_list(NOW + clock.seconds(1)).present == ()
 
 
 def test_gateway_list_is_unchanged_by_encoding_and_decoding():
-    gateways = presence.GatewayPresence([gateway("g1"), gateway("g2", ready=False)], NOW)
+    gateways = presence.GatewayPresence(observed("g1"), NOW)
+    gateways.record(gateway("g2", ready=False), NOW)
     gateway_list = gateways.gateway_list(NOW)
     assert presence.GatewayList.from_wire(gateway_list.to_wire()) == gateway_list
+
+
+def test_new_leader_takes_over_how_long_gateways_were_silent():
+    """Guards against look-ups that name a dead gateway again after a change of leader."""
+    at, began = NOW + clock.seconds(10), NOW + clock.seconds(11)
+    silences = {"dead": presence.LISTED_FOR + clock.seconds(0.5), "late": clock.seconds(1.9)}
+    gateways = presence.GatewayPresence(
+        observed("dead", "late", "g1", silences=silences, at=at), began
+    )
+    assert [g.name for g in gateways.gateway_list(began).present] == ["g1", "late"]
+    # The time for which a gateway is listed counts from its last poll, whoever led then.
+    later = at + presence.LISTED_FOR - silences["late"] + clock.seconds(0.1)
+    assert [g.name for g in gateways.gateway_list(later).present] == ["g1"]
+    last = at + presence.LISTED_FOR + clock.seconds(0.1)
+    assert gateways.gateway_list(last).present == ()
+
+
+def test_gateway_counts_as_a_sender_by_the_time_in_which_it_could_be_heard():
+    silence = presence.COUNTED_FOR - clock.seconds(1)
+    # No leader could be reached for a long time.
+    began = NOW + clock.seconds(60)
+    gateways = presence.GatewayPresence(observed("a", "b", silences={"a": silence}), began)
+    assert gateways.gateway_list(began + clock.seconds(0.9)).place("b").count == 2
+    assert gateways.gateway_list(began + clock.seconds(1.1)).place("b").count == 1
+    assert gateways.gateway_list(began + presence.COUNTED_FOR).place("b").count == 1
+    assert gateways.gateway_list(began + presence.COUNTED_FOR * 1.1).place("b").count == 0
+
+
+def test_silence_grows_over_a_chain_of_leaders():
+    gateways = presence.GatewayPresence(observed("dead"), NOW)
+    now = NOW
+    for _ in range(8):
+        gateway_list = gateways.gateway_list(now)
+        now += clock.seconds(0.5)
+        silences = gateways.reported_silences(gateway_list, now)
+        gateways = presence.GatewayPresence(
+            presence.Observation(gateway_list.known, silences, now), now
+        )
+    assert now - NOW > presence.LISTED_FOR
+    assert gateways.gateway_list(now).present == ()
+
+
+def test_silent_gateways_are_seen_in_the_list_of_an_earlier_build():
+    gateways = presence.GatewayPresence(observed("dead", "g1"), NOW)
+    later = NOW + presence.LISTED_FOR + clock.seconds(0.1)
+    gateways.record(gateway("g1"), later)
+    gateways.record(gateway("stopping", ready=False), later)
+    least = presence.least_silences(gateways.gateway_list(later))
+    assert least == {"dead": presence.LISTED_FOR}
+
+
+def test_new_leader_takes_over_how_long_endpoints_were_silent():
+    fleet = state.FleetState()
+    fleet.apply({"kind": "report", "endpoint": model.to_document(endpoint())}, 1)
+    interval = clock.seconds(1.5)
+    listening = registry.LISTENING_INTERVALS * interval
+    for silence in (registry.SILENCE_INTERVALS * interval, 100 * interval):
+        endpoints = registry.Registry(interval, NOW, {"e1": silence})
+        # A report may have been refused while there was no leader.
+        assert endpoints.silent(fleet, NOW + listening - clock.seconds(0.1)) == []
+        late = NOW + listening + clock.seconds(0.1)
+        assert [e.id for e in endpoints.silent(fleet, late)] == ["e1"]
+        endpoints.record(endpoint(sequence=2), fleet, late)
+        assert endpoints.silent(fleet, late) == []
+        assert endpoints.silent(fleet, late + listening * 2) == []
+        assert endpoints.reported_silences(fleet, late + interval) == {}
+        assert list(endpoints.reported_silences(fleet, late + 3 * interval)) == ["e1"]
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -11,7 +11,7 @@
 import steward_cluster
 
 from flamingotiller import clock, errors, events, journal, log_task, server
-from flamingotiller.fleet import accounting, model, state, steward
+from flamingotiller.fleet import accounting, model, presence, state, steward
 from flamingotiller.platform import calls
 
 StewardCluster = steward_cluster.StewardCluster
@@ -735,3 +735,65 @@
                 await node._on_endpoint_grant({"endpoint": "e 1", "rate": rate})
 
     asyncio.run(scenario())
+
+
+def gateway_poll(name):
+    return {
+        "gateway": presence.Gateway(name, f"{name}:80", "a", "r", True).to_wire(),
+        "wants_relays": False,
+        "revision": 0,
+        "draws": {},
+    }
+
+
+async def send_gateway_poll(node, name):
+    with contextlib.suppress(errors.FlamingotillerError):
+        await node._client.call(
+            node.config.address, "POST", "/v1/follow", gateway_poll(name), timeout=clock.seconds(1)
+        )
+
+
+def test_look_ups_do_not_name_a_dead_gateway_again_after_a_change_of_leader(tmp_path, monkeypatch):
+    """Guards against a new leader that counts a gateway's silence from the start of its term."""
+    monkeypatch.setattr(presence, "LISTED_FOR", clock.seconds(1.5))
+    monkeypatch.setattr(presence, "COUNTED_FOR", clock.seconds(300))
+    monkeypatch.setattr(steward, "GATEWAY_DISCOVERY_TIME", clock.ZERO)
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+
+            async def poll(names):
+                for node in list(cluster.by_host.values()):
+                    for name in names:
+                        await send_gateway_poll(node, name)
+
+            def named():
+                return {a for node in cluster.by_host.values() for a in node.locate("r", "a")}
+
+            async def poll_until(names, condition):
+                for _ in range(1000):
+                    await poll(names)
+                    if condition():
+                        return
+                    await asyncio.sleep(0.02)
+                raise AssertionError("the condition did not become true")
+
+            await poll_until(["dead", "alive"], lambda: named() == {"dead:80", "alive:80"})
+            await poll_until(["alive"], lambda: "dead:80" not in named())
+            # The list is sent to the other stewards before their next poll brings the silences.
+            others = [node for node in cluster.by_host.values() if node is not leader]
+            await poll_until(
+                ["alive"], lambda: all("dead" in n._observation.silence_by_name for n in others)
+            )
+            await cluster.stop(leader.config.host)
+            again = []
+
+            def is_new_named():
+                again.extend(a for a in named() if a == "dead:80")
+                return "new:80" in named()
+
+            await poll_until(["alive", "new"], is_new_named)
+            assert not again
+
+    asyncio.run(scenario())
