Keep the leader lease across a voter's restart

A voter that started again had forgotten when it last heard the leader. It granted a vote at once, so that another leader could be elected while the first one still held the lease which this voter had confirmed just before: rates, grants and trials are given out by the holder of the lease alone.

A voter with a used log now neither grants nor requests a vote for an election timeout after its start.

Not seen in processes.

--- a/flamingotiller/log_task.py
+++ b/flamingotiller/log_task.py
@@ -29,9 +29,10 @@
 MAX_MESSAGES_IN_FLIGHT = 8
 MAX_QUEUED_MESSAGES = 64
 STORAGE_RETRY_INTERVAL = clock.seconds(0.25)
-# A replica that starts requests votes after this fraction of the election timeout. That does not
-# disturb a working leader: members that receive messages from one grant no vote. The random part of
-# the timeout keeps replicas that start together from splitting the vote.
+# A replica that starts for the first time requests votes after this fraction of the timeout, any
+# other one when it may vote again. That does not disturb a working leader: members that receive
+# messages from one grant no vote. The random part of the timeout keeps replicas that start together
+# from splitting the vote.
 FIRST_ELECTION_FRACTION = 0.2
 # Length of the leader lease as a fraction of the election timeout; the rest allows for clock drift.
 LEADER_LEASE_FRACTION = 0.8
--- a/flamingotiller/replica.py
+++ b/flamingotiller/replica.py
@@ -113,6 +113,9 @@
         self._pending_rounds: dict[int, tuple[datetime.timedelta, int]] = {}
         self._heartbeat_due = now
         self._leader_heard_at = now - 2 * self.timing.election_timeout
+        # This replica may have confirmed a leader's lease just before it started again.
+        has_voted = store.last_index > 1 or store.term > 1
+        self._votes_from = now + self.timing.election_timeout if has_voted else now
         self._responsive_from = now
         self._reset_election_timer(now)
 
@@ -160,7 +163,7 @@
         """Handles expired timers; call it every few tens of milliseconds."""
         if self.role == "leader":
             self._tick_leader(now)
-        elif now >= self._election_due and self.is_voter:
+        elif now >= max(self._election_due, self._votes_from) and self.is_voter:
             self._start_pre_vote(now)
 
     def _tick_leader(self, now: datetime.timedelta) -> None:
@@ -186,7 +189,8 @@
 
     def schedule_election(self, earliest: datetime.timedelta) -> None:
         """Schedules the next election at a random time within one election timeout of
-        ``earliest``."""
+        ``earliest``, or of the time from which this replica may vote if that is later."""
+        earliest = max(earliest, self._votes_from)
         self._election_due = earliest + self.timing.election_timeout * self._rng.random()
 
     def on_pause(self, now: datetime.timedelta) -> None:
@@ -282,7 +286,9 @@
         # Rejects candidates while a leader is alive, so that a member that returns from a network
         # partition with a higher term cannot depose it.
         leader_is_alive = (
-            self.role == "leader" or now - self._leader_heard_at < self.timing.election_timeout
+            self.role == "leader"
+            or now - self._leader_heard_at < self.timing.election_timeout
+            or now < self._votes_from
         )
         if leader_is_alive or request.term < self.store.term:
             self._send_vote_reply(request, granted=False)
--- a/tests/replica_cluster.py
+++ b/tests/replica_cluster.py
@@ -2,7 +2,7 @@
 
 import random
 
-from flamingotiller import clock, errors, journal, replica, replica_messages
+from flamingotiller import clock, errors, journal, log_task, replica, replica_messages
 
 TIMING = replica.Timing(clock.seconds(0.1), clock.seconds(0.5))
 
@@ -56,6 +56,7 @@
         node.store.sync()
         node.on_journal_synced()
         self.check_committed(identity)
+        self.check_leases()
         outbox, node.outbox = node.outbox, []
         for target, message in outbox:
             self.messages.append((identity, target, message))
@@ -76,6 +77,21 @@
                 next_committed_at >= node.confirmation.as_of
             ), "confirmed an index although a later one was committed"
 
+    def lease_holders(self):
+        """Returns the replicas that hold the leader lease by their own clocks."""
+        lease = log_task.LEADER_LEASE_FRACTION * TIMING.election_timeout
+        return [
+            identity
+            for identity, node in self.nodes.items()
+            if node.role == "leader"
+            and node.confirmation
+            and self.now - node.confirmation.as_of < lease
+        ]
+
+    def check_leases(self):
+        """Asserts that at most one replica holds the leader lease."""
+        assert len(self.lease_holders()) < 2, self.lease_holders()
+
     def tick(self, identity):
         if identity in self.frozen:
             return
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -540,3 +540,24 @@
     document = replica_messages.message_to_wire(message)
     assert document["entries"][0][3] is body
     assert replica_messages.message_from_wire(document) == message
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_voter_that_restarts_elects_no_leader_during_the_lease_that_it_confirmed(seed):
+    """Guards against a restarted voter that forgets when it last heard the leader."""
+    cluster = replica_cluster.Cluster(3, seed)
+    cluster.run(3)
+    leader = cluster.leader()
+    voter, cut_off = (n for n in cluster.nodes if n != leader)
+    links = {(cut_off, n) for n in (leader, voter)}
+    cluster.links_down |= links | {(b, a) for a, b in links}
+    cluster.run(2)
+    assert cluster.lease_holders() == [leader]
+    cluster.crash(voter)
+    cluster.links_down = {(a, b) for a in cluster.nodes for b in cluster.nodes if leader in (a, b)}
+    for node in (voter, cut_off):
+        cluster.nodes[node].schedule_election(cluster.now)
+    cluster.run(0.3, step=0.02)
+    assert cluster.lease_holders() == [leader]
+    cluster.run(3)
+    assert cluster.leader() != leader
