Count the age of suspects and quarantines on across leaders

A new leader counted the lifetimes of suspects and of quarantines from the start of its own term, so a request stayed refused for longer with each change of leader. The ages go to the other voters with the accounts.

test_quarantine_does_not_begin_anew_with_a_new_leader uses the new argument; on the code before, the quarantine had no earlier start to begin from.

--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -176,6 +176,8 @@
         # What the leader knows of gateways, and for how long endpoints have been silent there.
         self._observation = presence.Observation()
         self._endpoint_silence_by_id: dict[str, datetime.timedelta] = {}
+        # Since when the leader knows suspects, as of its latest accounts.
+        self._suspect_since_by_fingerprint: dict[str, datetime.timedelta] = {}
         self._local_gateways = presence.GatewayPresence(presence.Observation(), clk.monotonic())
         self._branch = branch.Branch(f"{config.name}.{secrets.token_hex(4)}", config.tolerance)
         self._pending_draw_by_organisation: dict[str, asyncio.Future[None]] = {}
@@ -319,6 +321,10 @@
             self._accounts, self._accounts_at = response["accounts"], now
             # The copy was made after the poll was sent.
             self._accounts_delay = now - as_of
+            self._suspect_since_by_fingerprint = {
+                fingerprint: now - clock.seconds(age_s)
+                for fingerprint, age_s in response.get("suspect_ages", {}).items()
+            }
         for organisation in self._polled_draws:
             ledger = self._branch.ledger(organisation)
             ledger.receive(accounting.Grant(*response["grants"][organisation]), now)
@@ -410,6 +416,9 @@
             now,
         )
         self._endpoint_silence_by_id = leader_state.registry.reported_silences(self.state, now)
+        self._suspect_since_by_fingerprint = {
+            fingerprint: now - age for fingerprint, age in leader_state.suspects.ages(now).items()
+        }
 
     def _get_leader_state(self, now: datetime.timedelta) -> _LeaderState | None:
         """Returns the leader's state, None if this steward is not the leader.
@@ -451,6 +460,7 @@
                 lambda: self.state,
                 lambda command: self.log.propose(command, DECISION_TIMEOUT),
                 self.clock,
+                self._suspect_since_by_fingerprint,
             ),
         )
 
@@ -621,6 +631,11 @@
             "accounts": accounts,
             "takes_renewals": True,
             "silences": self._silences_to_wire(leader_state),
+            "suspect_ages": {
+                fingerprint: age.total_seconds()
+                for fingerprint, age in leader_state.suspects.ages(now).items()
+                if accounts is not None
+            },
         }
 
     def _silences_to_wire(self, leader_state: _LeaderState) -> dict[str, dict[str, float]]:
--- a/flamingotiller/fleet/suspect_registry.py
+++ b/flamingotiller/fleet/suspect_registry.py
@@ -29,6 +29,7 @@
         get_state: Returns the applied state of the log.
         propose: Proposes a command to the log and waits until it is applied.
         clk: Clock.
+        since_by_fingerprint: Since when an earlier leader knew suspects, or their quarantines.
     """
 
     def __init__(
@@ -36,13 +37,14 @@
         get_state: collections.abc.Callable[[], state.FleetState],
         propose: Propose,
         clk: clock.Clock,
+        since_by_fingerprint: collections.abc.Mapping[str, datetime.timedelta] | None = None,
     ) -> None:
         self._get_state = get_state
         self._propose = propose
         self._clock = clk
         self._ledger = suspects.EndLedger()
         self._trials = suspects.TrialSchedule()
-        self._known_since: dict[str, datetime.timedelta] = {}
+        self._known_since = dict(since_by_fingerprint or {})
         # Commands are derived from the applied state, so one has to be applied before the next.
         self._lock = asyncio.Lock()
 
@@ -129,6 +131,10 @@
         ends = len(self._ledger.ends(fingerprint, self._clock.monotonic()))
         events.emit(events.QUARANTINE_ADDED, fingerprint=fingerprint, deaths=ends)
 
+    def ages(self, now: datetime.timedelta) -> dict[str, datetime.timedelta]:
+        """Returns how long suspects, or their quarantines, have been known."""
+        return {fingerprint: now - since for fingerprint, since in self._known_since.items()}
+
     async def expire(self) -> None:
         """Drops suspects and quarantines after their lifetimes; raises as ``begin_trial`` does."""
         now = self._clock.monotonic()
--- a/tests/test_fleet_crashing.py
+++ b/tests/test_fleet_crashing.py
@@ -321,3 +321,36 @@
                 assert applied.suspect_by_fingerprint()["f"].quarantined
 
     asyncio.run(scenario())
+
+
+def test_quarantine_does_not_begin_anew_with_a_new_leader():
+    """Guards against lifetimes of quarantines that each new leader counts from its own start."""
+
+    async def scenario():
+        applied = state.FleetState()
+        clk = clock.ManualClock(clock.seconds(1000))
+        index = 0
+
+        async def propose(command):
+            nonlocal index
+            index += 1
+            return applied.apply(command, index)
+
+        def lead(ages):
+            since = {fingerprint: clk.monotonic() - age for fingerprint, age in ages.items()}
+            return suspect_registry.SuspectRegistry(lambda: applied, propose, clk, since)
+
+        registry = lead({})
+        await registry.record_ends({"e1 1": ["f"], "e1 2": ["f"]})
+        await registry.begin_trial("t", "f", "s", clock.ZERO)
+        await registry.end_trial("t", "f", "s", suspects.TrialOutcome.FAILED)
+        for _ in range(3):
+            await registry.expire()
+            assert applied.suspect_by_fingerprint()["f"].quarantined
+            clk.advance(suspects.QUARANTINE_LIFETIME / 3)
+            registry = lead(registry.ages(clk.monotonic()))
+        clk.advance(clock.seconds(1))
+        await registry.expire()
+        assert "f" not in applied.suspect_by_fingerprint()
+
+    asyncio.run(scenario())
