Bound the time of a whole response, not of each wait for it

Cause: the deadline was the timeout of each wait for data; with data always at hand there is no wait, and the loop read up to 1 MiB of payload.

Change: reading a buffered body has one timeout at gateways; forwarding a response has one at entry instances, which also ends streams to callers that read nothing. The body of a refusal is read for 0.1 s only, as the head has told all. A connection gives out 20 events before other tasks run, 100 before.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -380,6 +380,25 @@
 
     async def _forward_response(
         self, connection: wire.Connection, head: h11.Response, reply: server.Reply
+    ) -> claims.Outcome | None:
+        """Forwards a response, all of it before the deadline.
+
+        Raises:
+            errors.ExchangeTimeoutError: The endpoint did not send it, or the caller did not read it
+                in time. A limit of each wait would end nothing while data is always at hand.
+        """
+        try:
+            async with asyncio.timeout(self._remaining().total_seconds()):
+                return await self._forward_whole_response(connection, head, reply)
+        except TimeoutError as error:
+            raise errors.ExchangeTimeoutError(
+                "the response was not transferred by the deadline",
+                step="forward",
+                peer=self.address,
+            ) from error
+
+    async def _forward_whole_response(
+        self, connection: wire.Connection, head: h11.Response, reply: server.Reply
     ) -> claims.Outcome | None:
         headers = forwarded_headers(head.headers)
         buffered = bytearray()
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import datetime
 
@@ -20,6 +21,8 @@
 # Extra time after the deadline for the endpoint's own response to arrive. An endpoint that keeps to
 # its deadline answers within it, and its response tells more than the gateway's timeout would.
 RESPONSE_GRACE = clock.seconds(0.03)
+# How long the body of a refusal may take. It is read only so that the connection can be used again.
+REFUSAL_BODY_TIME = clock.seconds(0.1)
 # Marks a request that another gateway has relayed.
 RELAYED_HEADER = b"flamingotiller-relayed"
 # Names the endpoint of a relayed response if it leaves: the start of its lifetime, in milliseconds
@@ -219,7 +222,9 @@
             not_run = self._not_run_error(head)
             if not_run:
                 link.refused_id = self._job.request_id
-            response = await self._read_body(link, head, reply)
+                response = await self._read_refusal(link, head)
+            else:
+                response = await self._read_body(link, head, reply)
         except errors.TransportError as error:
             self._count_traffic(link)
             self._pool.discard(address, link)
@@ -363,19 +368,62 @@
         if may_stream and _declared_length(head) > limit:
             await self._stream(link, head, b"", reply)
             return None
+        async with self._whole(self._reading_time(), "read body"):
+            body, ended = await self._read_up_to(link, limit)
+        if ended:
+            return Response(head.status_code, list(head.headers), body)
+        if not may_stream:
+            reason = f"longer than {limit} bytes" if len(body) > limit else "too long beside others"
+            raise self._protocol_error(f"response is {reason}")
+        await self._stream(link, head, body, reply)
+        return None
+
+    async def _read_refusal(self, link: wire.Connection, head: h11.Response) -> Response:
+        """Reads the short body of a refusal, so that the connection can be used again.
+
+        Raises:
+            errors.TransportError: It is too long or does not end at once.
+        """
+        time = min(REFUSAL_BODY_TIME, self._reading_time())
+        async with self._whole(time, "read refusal"):
+            body, ended = await self._read_up_to(link, MAX_BUFFERED_RESPONSE_BYTES)
+        if not ended:
+            raise self._protocol_error("body of a refusal is too long")
+        return Response(head.status_code, list(head.headers), body)
+
+    async def _read_up_to(self, link: wire.Connection, limit: int) -> tuple[bytes, bool]:
+        """Reads a body until it is longer than a limit, or there is no room for more of it.
+
+        Returns:
+            What was read, and whether it is the whole body.
+        """
         body = bytearray()
         has_room = True
         while len(body) <= limit and has_room:
             data = await self._next_data(link)
             if data is None:
-                return Response(head.status_code, list(head.headers), bytes(body))
+                return bytes(body), True
             body += data
             has_room = self._job.request.try_reserve(len(data))
-        if not may_stream:
-            reason = f"longer than {limit} bytes" if has_room else "too long beside others"
-            raise self._protocol_error(f"response is {reason}")
-        await self._stream(link, head, bytes(body), reply)
-        return None
+        return bytes(body), False
+
+    @contextlib.asynccontextmanager
+    async def _whole(
+        self, time: datetime.timedelta, step: str
+    ) -> collections.abc.AsyncIterator[None]:
+        """Bounds the time of a whole step: a limit of each wait ends nothing while data is always
+        at hand.
+
+        Raises:
+            errors.ExchangeTimeoutError: It took too long.
+        """
+        try:
+            async with asyncio.timeout(time.total_seconds()):
+                yield
+        except TimeoutError as error:
+            raise errors.ExchangeTimeoutError(
+                "it was not complete by the deadline", step=step, peer=self._address
+            ) from error
 
     def _caller_sees_truncation(self, head: h11.Response) -> bool:
         """Returns whether a streamed response that breaks off differs from a complete one."""
@@ -414,19 +462,12 @@
         ]
         headers.append((self._dialect.request_id, self._job.request_id.encode("latin-1")))
         headers += self._job.relay_headers
-        try:
-            async with asyncio.timeout(self._reading_time().total_seconds()):
-                await reply.start(head.status_code, headers)
-                await reply.write(begun)
-                while (data := await self._next_data(link)) is not None:
-                    await reply.write(data)
-                await reply.finish()
-        except TimeoutError as error:
-            raise errors.ExchangeTimeoutError(
-                "the response was not transferred by the deadline",
-                step="stream",
-                peer=self._address,
-            ) from error
+        async with self._whole(self._reading_time(), "stream"):
+            await reply.start(head.status_code, headers)
+            await reply.write(begun)
+            while (data := await self._next_data(link)) is not None:
+                await reply.write(data)
+            await reply.finish()
 
 
 class EndpointAttempt(Attempt):
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -31,7 +31,7 @@
 SHORT_READ_BYTES = 4 * 1024
 MAX_UNREAD_BYTES = 16 * 1024 * 1024
 # Events that one connection may give out in a row before other tasks run.
-MAX_EVENTS_PER_ROUND = 100
+MAX_EVENTS_PER_ROUND = 20
 # Responses with a status below 200 that may come before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
 # While reading from a caller is paused, its close is looked for at this interval.
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -287,3 +287,94 @@
     for number in range(80):
         assembler.add(vars(replica_transport.Part("n", "t", number, 100, data)))
     assert assembler.held == 80 * replica_transport.MAX_PART_BYTES
+
+
+async def write_endlessly(writer, data):
+    while True:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.001)
+
+
+def endless_chunks(status, *fields):
+    """Returns a script that answers with a body of tiny chunks that never ends."""
+
+    async def script(request, writer):
+        fields_of_head = ("Transfer-Encoding: chunked", *fields)
+        writer.write(test_fleet_forwarding.head(request, *fields_of_head, status=status))
+        await write_endlessly(writer, b"1\r\n\n\r\n" * 2000)
+
+    return script
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_body_without_end_is_cut_off_at_the_deadline(status, method):
+    """Guards against a deadline that each wait keeps and the whole body does not."""
+
+    async def work():
+        endpoint = test_fleet_forwarding.ScriptedEndpoint(endless_chunks(status))
+        routes = [make_route(timeout_s=0.5, max_attempts=1, idempotent=method == "GET")]
+        async with GatewayHarness(endpoint, routes=routes) as harness:
+            responses = await asyncio.gather(
+                *(
+                    harness.send(make_request(method=method, id_=f"id-{n}", X_Deadline_Ms="5000"))
+                    for n in range(4)
+                )
+            )
+            # A limit on the length gives 502, much later; a stream breaks off.
+            assert {r and r.status for r in responses} <= {504, None if status == 200 else 504}
+
+    run(work())
+
+
+async def stalled_refusal(request, writer):
+    head = test_fleet_forwarding.head(request, "X-Not-Executed: 1", "Content-Length: 9", status=503)
+    writer.write(head)
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("refuse", [stalled_refusal, endless_chunks(503, "X-Not-Executed: 1")])
+def test_refusal_whose_body_does_not_end_is_followed_by_the_next_attempt(refuse):
+    """Guards against refusals that keep a request until its deadline."""
+
+    async def work():
+        refused = False
+
+        async def script(request, writer):
+            nonlocal refused
+            if not refused:
+                refused = True
+                await refuse(request, writer)
+            writer.write(fleet_fakes.make_response(request))
+
+        endpoints = [test_fleet_forwarding.ScriptedEndpoint(script, id_) for id_ in ("e1", "e2")]
+        routes = [make_route(timeout_s=5, max_attempts=2, idempotent=False)]
+        async with GatewayHarness(*endpoints, routes=routes) as harness:
+            request = make_request(method="POST", X_Deadline_Ms="5000")
+            assert (await harness.send(request)).status == 200
+            assert refused
+
+    run(work())
+
+
+def test_caller_that_reads_nothing_keeps_no_endpoint_of_an_entry_instance(monkeypatch):
+    """Guards against streams that last for as long as their caller does not read."""
+
+    async def scenario(harness):
+        endpoint = harness.endpoint
+        endpoint.response = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        endpoint.connection_action = "flood"
+        ended = endpoint.ended
+        host, _, port = harness.entry.address.rpartition(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /names/x HTTP/1.1\r\nhost: x\r\nflamingotiller-key: %s\r\n"
+            b"flamingotiller-deadline-ms: 1000\r\n\r\n" % harness.caller._key.encode()
+        )
+        await test_request_path.wait_until(lambda: endpoint.requests)
+        await test_request_path.wait_until(lambda: endpoint.ended > ended)
+        assert not harness.entry.request_path._in_flight_by_organisation
+        writer.transport.abort()
+
+    test_request_path.run_scenario(scenario, monkeypatch)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -22,8 +22,9 @@
 
     Attributes:
         response: Bytes sent after each request, with the placeholder replaced by the request's id.
-        connection_action: "keep", "close" or "stall" after the response, or "abort" before the
-            request is read.
+        connection_action: "keep", "close", "drip", "flood" or "stall" after the response, or
+            "abort" before the request is read.
+        ended: Connections that have ended.
     """
 
     def __init__(self):
@@ -31,6 +32,7 @@
         self.connection_action = "keep"
         self.requests = []
         self.connections = 0
+        self.ended = 0
         self.writers = set()
 
     async def start(self):
@@ -41,26 +43,33 @@
         self.connections += 1
         self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                if self.connection_action == "abort":
-                    writer.transport.abort()
-                    return
-                head = await reader.readuntil(b"\r\n\r\n")
-                length = re.search(rb"content-length: (\d+)", head)
-                body = await reader.readexactly(int(length[1])) if length else b""
-                self.requests.append((head, body))
-                request_id = re.search(rb"flamingotiller-request-id: (\S+)", head)[1]
-                writer.write(self.response.replace(REQUEST_ID_PLACEHOLDER, request_id))
+            await self.answer(reader, writer)
+        self.ended += 1
+
+    async def answer(self, reader, writer):
+        while True:
+            if self.connection_action == "abort":
+                writer.transport.abort()
+                return
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = re.search(rb"content-length: (\d+)", head)
+            body = await reader.readexactly(int(length[1])) if length else b""
+            self.requests.append((head, body))
+            request_id = re.search(rb"flamingotiller-request-id: (\S+)", head)[1]
+            writer.write(self.response.replace(REQUEST_ID_PLACEHOLDER, request_id))
+            await writer.drain()
+            if self.connection_action == "close":
+                writer.close()
+                return
+            while self.connection_action == "drip":
+                writer.write(b"x")
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            while self.connection_action == "flood":
+                writer.write(b"4000\r\n%s\r\n" % bytes(0x4000))
                 await writer.drain()
-                if self.connection_action == "close":
-                    writer.close()
-                    return
-                while self.connection_action == "drip":
-                    writer.write(b"x")
-                    await writer.drain()
-                    await asyncio.sleep(0.05)
-                if self.connection_action == "stall":
-                    await asyncio.sleep(30)
+            if self.connection_action == "stall":
+                await asyncio.sleep(30)
 
 
 class Harness:
