One deadline for a request, whatever it waits for

Cause: each step of a request had a limit of its own (the next piece of the body, a draw, a grant, a trial, a connection), and no limit held them all. A body that arrived byte by byte kept a request, and its memory, for as long as the caller liked; a head did the same; a caller that read nothing kept its response. Orders to stewards gave each call of the leader the whole time.

Change: gateways and entry instances end a request at its deadline and a margin of 0.1 s: 408 while the body is being read, 503 as not run if nothing was sent, 504 otherwise. A head that has begun has one time limit, a response that nobody reads ends after 30 s, and calls of the leader get the time that is left.

--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -210,6 +210,7 @@
         address = self._address
         link = self._link = await self._acquire()
         not_run: dispatch.ShedError | None = None
+        response: Response | None
         try:
             self._check_grant()
             self._dispatch_state.begin_attempt()
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -52,6 +52,9 @@
 MAX_VIEW_AGE_FOR_REJECTION = clock.seconds(1.5)
 ENDPOINT_CONNECT_TIMEOUT = clock.seconds(0.3)
 DEFAULT_CALLER_TIMEOUT = clock.seconds(30)
+# Time after a request's deadline, and the grace for its response, at which it is given up whatever
+# it waits for; a step that has a limit of its own tells more.
+DEADLINE_MARGIN = clock.seconds(0.1)
 MAX_DEADLINE_DIGITS = 9
 # Longer request bodies are streamed to the endpoint, and such requests are not retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -462,21 +465,56 @@
         route = self._find_route(request, trace)
         organisation = self._authenticate(request, route, trace)
         job = self._make_job(request, route, organisation, trace)
-        self._check_time_until_stop(job)
-        await self._read_body(job)
-        request.check_caller()
-        self._check_time_until_stop(job)
-        trace.fingerprint = job.fingerprint = _fingerprint(job)
-        if self._paths.lost:
-            response = await self._relay(job, dispatch_state, reply, trace)
-        else:
-            response = await self._serve_here(job, dispatch_state, reply, trace)
+        response = await self._respond_in_time(job, dispatch_state, reply, trace)
         if response is not None:
             headers = forwarding.caller_headers(response, self._dialect.request_id, job.request_id)
             headers += job.relay_headers
             await reply.send(response.status, response.body, headers)
         self._record_served(job, reply.status, trace)
 
+    async def _respond_in_time(
+        self,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+        trace: _Trace,
+    ) -> forwarding.Response | None:
+        """Returns the response to a request unless it has been streamed, by the deadline whatever
+        the request waits for.
+
+        Raises:
+            errors.RefusedError: The request cannot be served, or not in time.
+            errors.ExchangeTimeoutError: The response had been begun.
+        """
+        remaining = max(clock.ZERO, job.deadline - self.clock.monotonic())
+        limit = remaining + forwarding.RESPONSE_GRACE + DEADLINE_MARGIN
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._respond(job, dispatch_state, reply, trace)
+        except TimeoutError as error:
+            late = errors.ExchangeTimeoutError("deadline passed", step="lead")
+            if reply.started:
+                raise late from error
+            if not trace.fingerprint:
+                raise _refused(408, "body", late) from error
+            raise self._no_endpoint(job, dispatch_state, late) from error
+
+    async def _respond(
+        self,
+        job: forwarding.Job,
+        dispatch_state: dispatch.DispatchState,
+        reply: server.Reply,
+        trace: _Trace,
+    ) -> forwarding.Response | None:
+        self._check_time_until_stop(job)
+        await self._read_body(job)
+        job.request.check_caller()
+        self._check_time_until_stop(job)
+        trace.fingerprint = job.fingerprint = _fingerprint(job)
+        if self._paths.lost:
+            return await self._relay(job, dispatch_state, reply, trace)
+        return await self._serve_here(job, dispatch_state, reply, trace)
+
     def _check_time_until_stop(self, job: forwarding.Job) -> None:
         """Checks that a planned stop, if one has begun, will not cut a request off.
 
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -929,18 +929,18 @@
         Raises:
             errors.UnavailableError: It is too late, or no leader could be asked in time.
         """
-        now = self.clock.monotonic()
-        expires_at = (now if arrived_after is None else arrived_after) + ORDER_LIFETIME
+        arrived_at = self.clock.monotonic() if arrived_after is None else arrived_after
+        expires_at = arrived_at + ORDER_LIFETIME
         # The end of the connection cancels this handler.
         await asyncio.sleep(CALLER_CHECK_TIME.total_seconds())
         if self.log.is_leader:
             return await self._propose(command, expires_at)
         try:
-            leader = await self._execute("clock", None)
+            leader = await self._execute("clock", None, self._time_to_forward(arrived_at))
         except errors.InvalidInputError:
             # Leaders of earlier builds do not know this operation.
             self._require_before(expires_at)
-            return await self._execute("propose", command)
+            return await self._execute("propose", command, self._time_to_forward(arrived_at))
         # The leader's clock showed its answer's time at the latest now.
         leader_expires_at = clock.seconds(leader["now_s"]) + expires_at - self.clock.monotonic()
         arguments = {
@@ -949,7 +949,7 @@
             "expires_s": leader_expires_at.total_seconds(),
         }
         try:
-            return await self._execute("order", arguments)
+            return await self._execute("order", arguments, self._time_to_forward(arrived_at))
         except errors.InvalidInputError as error:
             # A steward of an earlier build has taken the lead since; nothing is wrong with the
             # order, so its caller may send it again.
@@ -957,6 +957,17 @@
                 f"the leader does not take orders that expire: {error}", step="order"
             ) from error
 
+    def _time_to_forward(self, began_at: datetime.timedelta) -> datetime.timedelta:
+        """Returns the time that is left of an operation for calls of the leader.
+
+        Raises:
+            errors.UnavailableError: None is left.
+        """
+        left = FORWARD_TIMEOUT - (self.clock.monotonic() - began_at)
+        if left <= clock.ZERO:
+            raise errors.UnavailableError("the leader did not answer in time", step="forward")
+        return left
+
     def _require_before(self, expires_at: datetime.timedelta) -> None:
         if self.clock.monotonic() > expires_at:
             raise errors.UnavailableError("the order has waited for too long", step="order")
@@ -978,6 +989,7 @@
             errors.InvalidInputError: The log cannot hold it.
             errors.FlamingotillerError: The outcome is not known; the update may be sent again.
         """
+        began_at = self.clock.monotonic()
         replica_messages.check_nesting(update.source, "configure")
         await self._wait_for_version(update.base)
         # The leader needs the whole update only if it is the only one that has applied the base.
@@ -986,7 +998,7 @@
             if update.base > self.state.version
             else ("propose", self._configure_command(update))
         )
-        work = self._execute(operation, arguments)
+        work = self._execute(operation, arguments, self._time_to_forward(began_at))
         return await self._decide_order("configure", str(update.version), work)
 
     async def _wait_for_version(self, version: int) -> None:
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -30,6 +30,9 @@
 
 MAX_ATTEMPTS = 3
 MIN_DEADLINE_MS = 1
+# Time after its deadline at which a request is given up whatever it waits for; a step that has a
+# limit of its own tells more.
+DEADLINE_MARGIN = clock.seconds(0.1)
 
 
 class RequestPath:
@@ -64,7 +67,7 @@
             request_id = prepared.request_id
             self._check_time_until_stop(prepared)
             state.check_caller()
-            await self._claim_and_run(prepared, state, reply)
+            await self._run_in_time(prepared, state, reply)
         except errors.RefusedError as error:
             result = error.code
             self._count_refusal(organisation, error, state)
@@ -226,21 +229,15 @@
         length = request.declared_length()
         if length is not None and length > route.max_request_bytes:
             raise _too_large()
-        buffered = bytearray()
-        while len(buffered) <= dispatch.BUFFERED_BODY_BYTES:
-            try:
-                chunk = await request.next_chunk()
-            except errors.LimitExceededError as error:
-                raise errors.RefusedError(
-                    error.message, status=error.status, code="body", step="read body"
-                ) from error
-            buffered += chunk
-            if len(buffered) > route.max_request_bytes:
-                raise _too_large()
-            if not chunk or not request.try_reserve(len(chunk)):
-                break
+        remaining = max(clock.ZERO, deadline - self._process.clock.monotonic())
+        try:
+            async with asyncio.timeout(remaining.total_seconds()):
+                body = await self._read_body(request, route)
+        except TimeoutError as error:
+            raise errors.RefusedError(
+                "body arrived too slowly", status=408, code="body", step="read body"
+            ) from error
         request_id = request_id or f"{self._process.config.instance}.{secrets.token_hex(8)}"
-        body = bytes(buffered)
         return dispatch.PreparedRequest(
             request=request,
             organisation=organisation,
@@ -254,6 +251,50 @@
             ),
         )
 
+    async def _read_body(self, request: server.Request, route: contract.Route) -> bytes:
+        """Returns the body, or as much of it as may be held."""
+        buffered = bytearray()
+        while len(buffered) <= dispatch.BUFFERED_BODY_BYTES:
+            try:
+                chunk = await request.next_chunk()
+            except errors.LimitExceededError as error:
+                raise errors.RefusedError(
+                    error.message, status=error.status, code="body", step="read body"
+                ) from error
+            buffered += chunk
+            if len(buffered) > route.max_request_bytes:
+                raise _too_large()
+            if not chunk or not request.try_reserve(len(chunk)):
+                break
+        return bytes(buffered)
+
+    async def _run_in_time(
+        self,
+        prepared: dispatch.PreparedRequest,
+        state: dispatch.DispatchState,
+        reply: server.Reply,
+    ) -> None:
+        """Serves a request by its deadline, whatever it waits for.
+
+        Raises:
+            errors.RefusedError: It cannot be served, or not in time.
+            errors.ExchangeTimeoutError: The response had been begun.
+        """
+        remaining = max(clock.ZERO, prepared.deadline - self._process.clock.monotonic())
+        try:
+            async with asyncio.timeout((remaining + DEADLINE_MARGIN).total_seconds()):
+                await self._claim_and_run(prepared, state, reply)
+        except TimeoutError as error:
+            if reply.started:
+                raise errors.ExchangeTimeoutError("deadline passed", step="serve") from error
+            not_run = state.outcome is dispatch.Outcome.NOT_RUN
+            raise errors.RefusedError(
+                "the deadline has passed",
+                status=503 if not_run else 504,
+                code="deadline" if not_run else "timeout",
+                retry_after_s=1 if not_run else None,
+            ) from error
+
     # Claim of the request id
 
     async def _claim_and_run(
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -46,9 +46,11 @@
 
     Attributes:
         connections: Maximum number of open connections; further ones are closed immediately.
-        head_timeout: Longest silence of the peer before and within the first request's head.
-        idle_timeout: Longest silence of the peer before and within the head of a later request.
-        read_timeout: Longest silence of the peer within a request body.
+        head_timeout: Longest silence of the peer before the first request's head.
+        idle_timeout: Longest silence of the peer before the head of a later request.
+        read_timeout: Longest time for a head that has begun, and longest silence of the peer within
+            a request body.
+        write_timeout: Longest time for which the peer may read nothing of a response.
         body_bytes: Maximum size of a request body.
     """
 
@@ -56,6 +58,7 @@
     head_timeout: datetime.timedelta = clock.seconds(10)
     idle_timeout: datetime.timedelta = clock.seconds(75)
     read_timeout: datetime.timedelta = clock.seconds(10)
+    write_timeout: datetime.timedelta = clock.seconds(30)
     body_bytes: int = 8 * 1024 * 1024
 
 
@@ -220,6 +223,7 @@
         connection: Connection of the request.
         method: Method of the request.
         compressing: Whether the caller understands compressed JSON bodies.
+        write_timeout: Longest time for which the caller may read nothing, None for no limit.
         is_stopping: Returns whether the connection is to be closed, since a stop has begun.
         is_followed: Returns whether a later request of the connection has been begun already. The
             connection then stays open until that one is answered.
@@ -231,10 +235,12 @@
         method: str,
         *,
         compressing: bool = False,
+        write_timeout: datetime.timedelta | None = None,
         is_stopping: collections.abc.Callable[[], bool] = lambda: False,
         is_followed: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._connection = connection
+        self._write_timeout = write_timeout
         self._is_stopping = is_stopping
         self._is_followed = is_followed
         self._head_only = method == "HEAD"
@@ -257,17 +263,17 @@
     ) -> None:
         """Sends the response head."""
         self._mark_started(status)
-        await self._connection.send(self._head(status, headers))
+        await self._send(self._head(status, headers))
 
     async def write(self, data: bytes) -> None:
         """Sends a chunk of the body, and waits while the peer reads too slowly."""
         if data and not self._head_only:
-            await self._connection.send(h11.Data(data=data))
+            await self._send(h11.Data(data=data))
 
     async def finish(self) -> None:
         """Ends the response."""
         self.finished = True
-        await self._connection.send(h11.EndOfMessage())
+        await self._send(h11.EndOfMessage())
 
     async def send(
         self,
@@ -284,7 +290,10 @@
         events: list[h11.Event] = [self._head(status, full)]
         if body and not self._head_only and status != 204:
             events.append(h11.Data(data=body))
-        await self._connection.send(*events, h11.EndOfMessage())
+        await self._send(*events, h11.EndOfMessage())
+
+    async def _send(self, *events: h11.Event) -> None:
+        await self._connection.send(*events, timeout=self._write_timeout)
 
     async def json(
         self,
@@ -613,7 +622,8 @@
     async def _serve_one(self, connection: wire.Connection, timeout: datetime.timedelta) -> bool:
         """Serves one request; returns whether the connection can serve another."""
         try:
-            head = await connection.next_event(timeout)
+            await connection.wait_for_data(timeout)
+            head = await connection.next_event(self.limits.read_timeout, in_total=True)
         except errors.ProtocolError as error:
             await self._reject_head(connection, error)
             return False
@@ -628,6 +638,7 @@
             connection,
             head.method.decode("ascii"),
             compressing=compressing,
+            write_timeout=self.limits.write_timeout,
             is_stopping=lambda: self._draining or self._keep_alive_disabled,
             is_followed=lambda: self._has_begun_ahead(connection),
         )
@@ -773,7 +784,7 @@
         status = getattr(cause, "error_status_hint", 400)
         if connection.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        reply = Reply(connection, "GET")
+        reply = Reply(connection, "GET", write_timeout=self.limits.write_timeout)
         reply.close_after = True
         with contextlib.suppress(errors.TransportError):
             await send_error(
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -262,6 +262,15 @@
         if self._read_waiter and not self._read_waiter.done():
             self._read_waiter.set_result(None)
 
+    async def wait_for_data(self, timeout: datetime.timedelta) -> None:
+        """Waits until there is data that no task has read as an event, or the connection has ended.
+
+        Raises:
+            errors.ExchangeTimeoutError: The timeout has passed.
+        """
+        if not self.has_unread_data and not self.lost:
+            await self._wait_readable(timeout.total_seconds())
+
     async def next_event(
         self, timeout: datetime.timedelta, *, in_total: bool = False
     ) -> typing.Any:
