Take no final response whose status HTTP does not define

Callers saw: an endpoint's 600 and 999 went through to the caller, with the endpoint's seal and without; 000, 099 and 199 as a final status gave 502 or 504.

Cause: the parser takes any number from 200 on for a final status.

Change: the one place that reads the heads of responses takes a final one from 200 to 599 only, for attempts, relays, entry instances and calls between instances. Any other one fails the attempt as one that may have run, and the endpoint is avoided. An informational response that announces a body is a protocol error at once; it was waited out until the deadline.

--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -34,6 +34,9 @@
 MAX_EVENTS_PER_ROUND = 20
 # Responses with a status below 200 that may come before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
+# Statuses of final responses. h11 takes any number of three digits from 200 on.
+FINAL_STATUSES = range(200, 600)
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 # While reading from a caller is paused, its close is looked for at this interval.
 PAUSED_CHECK_INTERVAL = datetime.timedelta(seconds=0.1)
 
@@ -327,11 +330,23 @@
             get_timeout: Returns the maximum time until the next event is complete.
 
         Raises:
-            errors.ProtocolError: There are too many informational responses, or as for
+            errors.ProtocolError: The response has a status that HTTP does not define or that
+                cannot be final, there are too many informational responses, or as for
                 ``next_event``, like the other errors.
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self.next_event(get_timeout(), in_total=True)
+            if isinstance(event, h11.InformationalResponse):
+                # It cannot have a body, so one that announces a body is no informational response.
+                is_valid = not any(name in _FRAMING_HEADERS for name, _ in event.headers)
+            else:
+                is_valid = not isinstance(event, h11.Response) or (
+                    event.status_code in FINAL_STATUSES
+                )
+            if not is_valid:
+                raise errors.ProtocolError(
+                    f"invalid status {event.status_code}", step="read head", peer=self.peer
+                )
             if not isinstance(event, h11.InformationalResponse):
                 return event
         raise errors.ProtocolError(
