Select the route by the target that is passed on

Cause: the target was read by a rule for references, which takes what follows two slashes for a host; the rest selected the route, and the whole target was passed on. Entry instances selected by the decoded path.

Change: the path is the target up to the first question mark, byte by byte, on both request paths. A target with a fragment gets 400.

tests/test_request_target.py failed before: the property, //a:x/, ///a/ and //old/a/ at gateways, //a/names/x, /%6eames/x and a fragment at entry instances.

--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -562,7 +562,7 @@
     view: configuration.View, organisation: str, request: server.Request
 ) -> contract.Route:
     terms = view.contract_by_organisation[organisation]
-    route = terms.route_for(request.method, request.path)
+    route = terms.route_for(request.method, request.raw_path)
     if route is None:
         raise errors.RefusedError(
             f"no route serves {request.method} {request.path}",
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -69,7 +69,7 @@
         method: HTTP method, in upper case.
         version: HTTP version, such as ``1.1``.
         target: Request target as sent.
-        raw_path: Path without the query, as sent.
+        raw_path: Path without the query, as sent and as it is passed on.
         path: Decoded path without the query.
         query: Value of each query parameter by name; the last one of a repeated parameter.
         headers: Pairs of lower-case name and value.
@@ -90,10 +90,10 @@
         self.method = head.method.decode("ascii")
         self.version = head.http_version.decode("ascii")
         self.target = head.target.decode("ascii")
-        split = urllib.parse.urlsplit(self.target)
-        self.raw_path = split.path
-        self.path = urllib.parse.unquote(split.path)
-        self.query = dict(urllib.parse.parse_qsl(split.query))
+        # Not urlsplit: it takes a target for a reference, and "//a/b" for a host and its path.
+        self.raw_path, _, query = self.target.partition("?")
+        self.path = urllib.parse.unquote(self.raw_path)
+        self.query = dict(urllib.parse.parse_qsl(query))
         self.headers = list(head.headers)
         self.peer = connection.peer
         self.arrived_after = connection.arrived_after
@@ -874,9 +874,11 @@
         raise errors.InvalidInputError(
             "ambiguous framing headers", step="read head", peer=request.peer
         )
-    if not request.target.startswith("/"):
+    if not request.target.startswith("/") or "#" in request.target:
         raise errors.InvalidInputError(
-            "the target must be an absolute path", step="read head", peer=request.peer
+            "the target must be an absolute path, without a fragment",
+            step="read head",
+            peer=request.peer,
         )
     if names.count(b"host") > 1:
         raise errors.InvalidInputError("repeated Host header", step="read head", peer=request.peer)
