Let each end of an evacuation change its endpoints' items

Cause: the end of an evacuation sets the service's cold time. An endpoint that had that value already did not change, and gateways count the cold time from the change.

Change: the entry's index is added to the cold time in nanoseconds, so that no two ends look the same. Earlier builds read the item as before. The rule is in force from level 2 on, once all stewards know it.

--- a/flamingotiller/fleet/state.py
+++ b/flamingotiller/fleet/state.py
@@ -15,9 +15,13 @@
 MAX_REMEMBERED_ENDPOINTS = 10_000
 # Level of the rules that this build knows. A command must have the same effect at every member, so
 # rules of a level are in force only from the entry on that says that all members know them.
-LEVEL = 1
+LEVEL = 2
 # From this level on, the departure of an endpoint that is not in the table is recorded.
 RECORDS_EVERY_DEPARTURE = 1
+# From this level on, each end of an evacuation gives the zone's endpoints a cold time of its own.
+MARKS_EACH_END_OF_AN_EVACUATION = 2
+# What an entry's index adds to a cold time, in seconds; too little to matter as a time.
+INDEX_S = 1e-9
 
 ACCEPTED, CONFLICT, STALE, IGNORED = "accepted", "conflict", "stale", "ignored"
 
@@ -101,11 +105,20 @@
 
     def _mark_cold(self, zone: str) -> None:
         """Marks a zone's endpoints as cold when its evacuation ends: they may have lost their state
-        during the evacuation and will say so only in their next report."""
+        during the evacuation and will say so only in their next report.
+
+        Gateways count the cold time from the change of the item. So it has to differ from that of
+        an earlier evacuation, or of the endpoint's own report, which may still be there.
+        """
+        mark_s = 0.0
+        if self.level >= MARKS_EACH_END_OF_AN_EVACUATION:
+            mark_s = INDEX_S * self.table.revision
         for subject, document in list(self.table.item_by_subject.items()):
             if subject.startswith("endpoint/") and document["zone"] == zone:
                 service = self.table.item_by_subject.get(f"service/{document['service']}")
                 cold_s = service["cold_s"] if service else 0.0
+                if cold_s > 0:
+                    cold_s += mark_s
                 self.table.put(subject, {**document, "cold_s": cold_s})
 
     def _report(self, command: dict[str, typing.Any]) -> str:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -333,3 +333,33 @@
     fleet, verdicts = run(report(), leave(silent=True), leave(), report(sequence=5))
     assert verdicts == ["accepted", "accepted", "ignored", "accepted"]
     assert state.FleetState.load(fleet.dump()).level == 0
+
+
+def take_back(zone="a"):
+    return [{"kind": "evacuate", "zone": zone, "active": active} for active in (True, False)]
+
+
+def test_each_end_of_an_evacuation_differs_for_those_who_read_the_table():
+    """Guards against a second take-back that tells nobody that endpoints are cold again."""
+    service = model.to_document(model.Service("search", 100, 3.0, 20.0))
+    fleet, _ = run(RAISE_LEVEL, configure(1, 0, items={"service/search": service}), report())
+    seen = []
+    for _ in range(3):
+        revision = fleet.table.revision
+        index = revision
+        for command in take_back():
+            index += 1
+            fleet.apply(command, index)
+        items = fleet.table.since(revision).items
+        seen.append(items["endpoint/e1"]["cold_s"])
+        fleet = state.FleetState.load(fleet.dump())
+    assert seen == sorted(set(seen))
+    assert seen == pytest.approx([3.0] * 3)
+
+
+def test_ends_of_evacuations_are_as_in_earlier_builds_until_all_members_know_the_new_ones():
+    service = model.to_document(model.Service("search", 100, 3.0, 20.0))
+    items = {"service/search": service}
+    level_1 = {**RAISE_LEVEL, "level": 1}
+    fleet, _ = run(level_1, configure(1, 0, items=items), report(), *take_back())
+    assert fleet.table.item_by_subject["endpoint/e1"]["cold_s"] == 3.0
