--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -210,7 +210,7 @@
         address = self._address
         link = self._link = await self._acquire()
         not_run: dispatch.ShedError | None = None
-        response: Response | None
+        response: Response | None = None
         try:
             self._check_grant()
             self._dispatch_state.begin_attempt()
@@ -223,7 +223,7 @@
             not_run = self._not_run_error(head)
             if not_run:
                 link.refused_id = self._job.request_id
-                response = await self._read_refusal(link, head)
+                await self._read_refusal(link)
             else:
                 response = await self._read_body(link, head, reply)
         except errors.TransportError as error:
@@ -369,7 +369,7 @@
         if may_stream and _declared_length(head) > limit:
             await self._stream(link, head, b"", reply)
             return None
-        async with self._whole(self._reading_time(), "read body"):
+        async with self._time_limit(self._reading_time(), "read body"):
             body, ended = await self._read_up_to(link, limit)
         if ended:
             return Response(head.status_code, list(head.headers), body)
@@ -379,18 +379,17 @@
         await self._stream(link, head, body, reply)
         return None
 
-    async def _read_refusal(self, link: wire.Connection, head: h11.Response) -> Response:
+    async def _read_refusal(self, link: wire.Connection) -> None:
         """Reads the short body of a refusal, so that the connection can be used again.
 
         Raises:
             errors.TransportError: It is too long or does not end at once.
         """
-        time = min(REFUSAL_BODY_TIME, self._reading_time())
-        async with self._whole(time, "read refusal"):
-            body, ended = await self._read_up_to(link, MAX_BUFFERED_RESPONSE_BYTES)
+        limit = min(REFUSAL_BODY_TIME, self._reading_time())
+        async with self._time_limit(limit, "read refusal"):
+            _, ended = await self._read_up_to(link, MAX_BUFFERED_RESPONSE_BYTES)
         if not ended:
             raise self._protocol_error("body of a refusal is too long")
-        return Response(head.status_code, list(head.headers), body)
 
     async def _read_up_to(self, link: wire.Connection, limit: int) -> tuple[bytes, bool]:
         """Reads a body until it is longer than a limit, or there is no room for more of it.
@@ -409,17 +408,17 @@
         return bytes(body), False
 
     @contextlib.asynccontextmanager
-    async def _whole(
-        self, time: datetime.timedelta, step: str
+    async def _time_limit(
+        self, limit: datetime.timedelta, step: str
     ) -> collections.abc.AsyncIterator[None]:
-        """Bounds the time of a whole step: a limit of each wait ends nothing while data is always
-        at hand.
+        """Limits the time of a whole step; a limit of each wait would end nothing while data is
+        always at hand.
 
         Raises:
-            errors.ExchangeTimeoutError: It took too long.
+            errors.ExchangeTimeoutError: The step took too long.
         """
         try:
-            async with asyncio.timeout(time.total_seconds()):
+            async with asyncio.timeout(limit.total_seconds()):
                 yield
         except TimeoutError as error:
             raise errors.ExchangeTimeoutError(
@@ -463,7 +462,7 @@
         ]
         headers.append((self._dialect.request_id, self._job.request_id.encode("latin-1")))
         headers += self._job.relay_headers
-        async with self._whole(self._reading_time(), "stream"):
+        async with self._time_limit(self._reading_time(), "stream"):
             await reply.start(head.status_code, headers)
             await reply.write(begun)
             while (data := await self._next_data(link)) is not None:
--- a/flamingotiller/fleet/steward.py
+++ b/flamingotiller/fleet/steward.py
@@ -346,9 +346,9 @@
             silence_by_name = presence.least_silences(self._gateway_list)
             self._endpoint_silence_by_id = {}
         else:
-            silence_by_name = {n: clock.seconds(s) for n, s in silences["gateways"].items()}
+            silence_by_name = {n: clock.seconds(s) for n, s in silences.get("gateways", {}).items()}
             self._endpoint_silence_by_id = {
-                id_: clock.seconds(s) for id_, s in silences["endpoints"].items()
+                id_: clock.seconds(s) for id_, s in silences.get("endpoints", {}).items()
             }
         known = self._gateway_list.known
         self._observation = presence.Observation(known, silence_by_name, now)
@@ -631,25 +631,19 @@
             "accounts": accounts,
             "takes_renewals": True,
             "silences": self._silences_to_wire(leader_state),
-            "suspect_ages": {
-                fingerprint: age.total_seconds()
-                for fingerprint, age in leader_state.suspects.ages(now).items()
-                if accounts is not None
-            },
+            "suspect_ages": _to_seconds(leader_state.suspects.ages(now) if accounts else {}),
         }
 
     def _silences_to_wire(self, leader_state: _LeaderState) -> dict[str, dict[str, float]]:
         """Returns the silences, in seconds, that a later leader takes over from this one."""
         now = self.clock.monotonic()
-        gateways = leader_state.presence.reported_silences(self._gateway_list, now)
         age = now - self._observation.at
-        return {
-            "gateways": {name: silence.total_seconds() for name, silence in gateways.items()},
-            "endpoints": {
-                id_: (silence + age).total_seconds()
-                for id_, silence in self._endpoint_silence_by_id.items()
-            },
+        silence_by_id = {id_: s + age for id_, s in self._endpoint_silence_by_id.items()}
+        silences = {
+            "gateways": leader_state.presence.reported_silences(self._gateway_list, now),
+            "endpoints": silence_by_id,
         }
+        return {kind: _to_seconds(durations) for kind, durations in silences.items() if durations}
 
     async def _on_gateway_poll(self, body: typing.Any, heard_at: datetime.timedelta) -> typing.Any:
         """Answers a gateway's poll: changed items, token grants, and its place among gateways.
@@ -989,16 +983,17 @@
             errors.InvalidInputError: The log cannot hold it.
             errors.FlamingotillerError: The outcome is not known; the update may be sent again.
         """
-        began_at = self.clock.monotonic()
         replica_messages.check_nesting(update.source, "configure")
+        began_at = self.clock.monotonic()
         await self._wait_for_version(update.base)
+        timeout = self._time_to_forward(began_at)
         # The leader needs the whole update only if it is the only one that has applied the base.
         operation, arguments = (
             ("configure", vars(update))
             if update.base > self.state.version
             else ("propose", self._configure_command(update))
         )
-        work = self._execute(operation, arguments, self._time_to_forward(began_at))
+        work = self._execute(operation, arguments, timeout)
         return await self._decide_order("configure", str(update.version), work)
 
     async def _wait_for_version(self, version: int) -> None:
@@ -1208,6 +1203,10 @@
 }
 
 
+def _to_seconds(duration_by_key: dict[str, datetime.timedelta]) -> dict[str, float]:
+    return {key: duration.total_seconds() for key, duration in duration_by_key.items()}
+
+
 def _fingerprint(value: typing.Any) -> str:
     if not isinstance(value, str) or not 0 < len(value) <= MAX_FINGERPRINT_LENGTH:
         raise errors.InvalidInputError("expected a request's fingerprint", step="suspects")
