Answer requests whose handler fails

Cause: the server answered only errors that handlers raise on purpose. A Host header that Connection names was left out, and without it no request to an endpoint can be built; CONNECT has no body that the parser gives out.

Change: the server answers 500 and logs the error if a handler ends without a response; CONNECT gets 501; Host is passed on whatever Connection says.

On the code before, test_odd_requests_are_answered had no answer for CONNECT with a path and for Connection: host, tried by a script with the same requests.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -35,6 +35,8 @@
         b"trailer", b"transfer-encoding", b"upgrade", b"proxy-connection", b"expect",
     }
 )  # fmt: skip
+# A Connection header that lists it is wrong, and a request without it is invalid.
+_END_TO_END = frozenset({b"host"})
 _CREDENTIAL_HEADERS = frozenset({b"authorization", KEY_HEADER})
 
 
@@ -185,7 +187,7 @@
         for name, value in items
         if name == b"connection"
         for token in value.split(b",")
-    }
+    } - _END_TO_END
     return [
         (name, value)
         for name, value in items
--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -754,6 +754,8 @@
         try:
             check_framing(request)
             await self._handler(request, reply)
+            if not reply.started:
+                raise RuntimeError(f"no response to {request.method} {request.raw_path}")
             if reply.finished and not request.body_ended and request.declared_length() == 0:
                 await request.next_chunk()
         except errors.CallerLeftError:
@@ -768,6 +770,14 @@
                 raise
             reply.close_after = True
             await send_error(reply, errors.InvalidInputError(str(error), step="read head"))
+        except Exception as error:
+            if reply.started:
+                raise
+            # The caller gets an answer whatever the handler does; it promises nothing.
+            if self._on_handler_error:
+                self._on_handler_error(error, request.peer)
+            reply.close_after = True
+            await send_error(reply, errors.FlamingotillerError("internal error", step="serve"))
         finally:
             request.release()
 
@@ -852,7 +862,8 @@
 
     Raises:
         errors.InvalidInputError: Conflicting or repeated framing headers, or an invalid target.
-        errors.LimitExceededError: The head is too large or the HTTP version is not supported.
+        errors.LimitExceededError: The head is too large, or the HTTP version or the method is not
+            supported.
     """
     size = len(request.target) + sum(len(name) + len(value) + 4 for name, value in request.headers)
     if size > wire.MAX_HEAD_BYTES:
@@ -867,6 +878,10 @@
             step="read head",
             peer=request.peer,
         )
+    if request.method == "CONNECT":
+        raise errors.LimitExceededError(
+            "CONNECT is not supported", status=501, step="read head", peer=request.peer
+        )
     names = [name for name, _ in request.headers]
     both = b"content-length" in names and b"transfer-encoding" in names
     repeated = names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1
--- a/tests/test_fleet_gateway.py
+++ b/tests/test_fleet_gateway.py
@@ -845,3 +845,23 @@
             assert harness.gateway._chooser.health_by_id["e1"].timeouts == 0
 
     run(work())
+
+
+@pytest.mark.parametrize(
+    ("request_data", "status"),
+    [
+        (b"CONNECT h.example:443 HTTP/1.1\r\nHost: h.example\r\n\r\n", 501),
+        (b"CONNECT /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n", 501),
+        (b"OPTIONS * HTTP/1.1\r\nHost: h.example\r\n\r\n", 400),
+        (make_request(Connection="host"), 200),
+        (make_request(Connection="close, Host"), 200),
+    ],
+)
+def test_odd_requests_are_answered(request_data, status):
+    """Guards against requests whose connection is reset instead of an answer."""
+
+    async def work():
+        async with GatewayHarness() as harness:
+            assert (await harness.send(request_data)).status == status
+
+    run(work())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -278,3 +278,28 @@
         await http_server.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+@pytest.mark.parametrize("ends", ["error", "without an answer"])
+def test_handler_that_fails_is_answered_for(ends):
+    """Guards against callers that get a reset where a handler has a fault."""
+
+    async def work():
+        reported = []
+
+        async def handle(request, reply):
+            if ends == "error":
+                raise KeyError("fault")
+
+        http_server = server.Server(
+            handle, on_handler_error=lambda error, peer: reported.append(error)
+        )
+        port = await http_server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n")
+        assert b" 500 " in await reader.readline()
+        assert len(reported) == 1
+        writer.close()
+        await http_server.close()
+
+    asyncio.run(work())
