Give a request the same identity however its body is cut

Cause: the identity covered what had been read of the body before the send, which beyond 256 KiB depends on the pieces in which it arrives.

Change: it covers the first 64 KiB, which both request paths read in any case.

--- a/flamingotiller/quarantine.py
+++ b/flamingotiller/quarantine.py
@@ -21,15 +21,25 @@
 # Deaths after which a request is quarantined in any case.
 TOTAL_DEATHS = 3
 MAX_SUSPECTS = 10_000
+# Every instance reads so much of a body before it decides where to send a request.
+FINGERPRINT_BODY_BYTES = 64 * 1024
 
 
 def request_fingerprint(organisation: str, method: str, target: str, body: bytes) -> str:
-    """Returns a digest that is the same when the request is resent."""
+    """Returns a digest that is the same when the request is resent.
+
+    Args:
+        organisation: Organisation on whose behalf it runs.
+        method: Its method.
+        target: Its host and target.
+        body: Its body, or the beginning of it that has been read. The network decides how much that
+            is, so only the first ``FINGERPRINT_BODY_BYTES`` count.
+    """
     digest = hashlib.blake2b(digest_size=12)
     for part in (organisation.encode(), method.encode(), target.encode()):
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
-    digest.update(body)
+    digest.update(body[:FINGERPRINT_BODY_BYTES])
     return digest.hexdigest()
 
 
--- a/tests/test_fleet_crashing.py
+++ b/tests/test_fleet_crashing.py
@@ -1,6 +1,7 @@
 """Requests that end the endpoints that run them, over all gateways of a fleet."""
 
 import asyncio
+import contextlib
 
 import fleet_cluster
 import fleet_fakes
@@ -354,3 +355,68 @@
         assert "f" not in applied.suspect_by_fingerprint()
 
     asyncio.run(scenario())
+
+
+LONG_BODY = bytes(range(256)) * 1600  # 409,600 bytes
+
+
+async def send_in_pieces(harness, length, chunked):
+    """Sends one request with a long body, cut into pieces of a length."""
+    reader, writer = await harness.connect()
+    head = fleet_fakes.make_request(method="POST", X_Deadline_Ms="20000")
+    framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: %d" % len(LONG_BODY)
+    writer.write(head.replace(b"Content-Length: 0", framing))
+    # The endpoint does not read chunks, so the gateway may answer, and close, before the end.
+    with contextlib.suppress(ConnectionError):
+        for start in range(0, len(LONG_BODY), length):
+            piece = LONG_BODY[start : start + length]
+            writer.write(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+        writer.write(b"0\r\n\r\n" if chunked else b"")
+        await reader.readline()
+    writer.close()
+
+
+def test_identity_of_a_request_depends_neither_on_its_framing_nor_on_the_network(monkeypatch):
+    """Guards against requests with long bodies that are another suspect each time they come."""
+    fingerprints = []
+    original = quarantine.request_fingerprint
+
+    def record(*arguments):
+        fingerprints.append(original(*arguments))
+        return fingerprints[-1]
+
+    monkeypatch.setattr(quarantine, "request_fingerprint", record)
+
+    async def scenario():
+        routes = [fleet_fakes.make_route(timeout_s=20, idempotent=False, max_attempts=1)]
+        for chunked in (False, True):
+            for length in (1000, 40_000, 65_536, 300_000, len(LONG_BODY)):
+                async with fleet_fakes.GatewayHarness(routes=routes) as harness:
+                    await send_in_pieces(harness, length, chunked)
+
+    asyncio.run(scenario())
+    assert len(fingerprints) == 10
+    assert len(set(fingerprints)) == 1
+
+
+def test_request_with_a_long_body_that_ends_endpoints_stops_reaching_them(tmp_path):
+    """Guards against long bodies that hide from the gateways that it is the same request."""
+
+    async def scenario():
+        async with fleet_cluster.Fleet(tmp_path, 3, routes=routes()) as fleet:
+            statuses = []
+            for number in range(12):
+                node = fleet.gateways[number % len(fleet.gateways)]
+                path = fleet_cluster.CRASHING_PATH
+                response = await fleet.send(
+                    node, path, f"long-{number}", method="POST", body=LONG_BODY
+                )
+                statuses.append(response and response.status)
+                await asyncio.sleep(0.1)
+            # Two ends make it a suspect, and a trial confirms it.
+            assert len(fleet.ended_at) <= 3, statuses
+            assert statuses[-1] == 503
+
+    asyncio.run(scenario())
