Refuse targets with brackets behind two slashes

A target such as //[ got 400 while it was read by a rule for references, and test_malformed_request_behind_another_is_refused_in_its_turn holds that; since the path is taken byte by byte it was routed. A bracket is valid in no path, and endpoints that read targets by that rule fail on it behind two slashes.

--- a/flamingotiller/server.py
+++ b/flamingotiller/server.py
@@ -878,6 +878,11 @@
             step="read head",
             peer=request.peer,
         )
+    if request.raw_path.startswith("//") and not {"[", "]"}.isdisjoint(request.raw_path):
+        # No path may contain a bracket, and behind two slashes readers of references fail on it.
+        raise errors.InvalidInputError(
+            "the target is not a valid path", step="read head", peer=request.peer
+        )
     if request.method == "CONNECT":
         raise errors.LimitExceededError(
             "CONNECT is not supported", status=501, step="read head", peer=request.peer
--- a/tests/test_request_target.py
+++ b/tests/test_request_target.py
@@ -53,6 +53,16 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize("target", ["//[", "//[a/names/x", "//a]/"])
+def test_bracket_behind_two_slashes_is_refused(target):
+    async def work():
+        async with GatewayHarness(routes=[make_route(prefix="/")]) as harness:
+            assert (await harness.send(make_request(target))).status == 400
+            assert (await harness.send(make_request("/a[1]/x?b[]=2"))).status == 200
+
+    asyncio.run(work())
+
+
 @pytest.mark.parametrize("target", ["//a/names/x", "/%6eames/x", "//names/x", "/names/x#a"])
 def test_entry_instance_passes_on_no_target_that_its_route_does_not_begin(target, monkeypatch):
     async def scenario(harness):
