Read the change as a newcomer: one time limit for steps, plainer names

Change: wire.time_limit and dispatch.DEADLINE_MARGIN serve both; the test of orders records the timeouts of real calls of the leader; names and pages.

--- a/flamingotiller/dispatch.py
+++ b/flamingotiller/dispatch.py
@@ -25,6 +25,9 @@
 DEADLINE_HEADER = b"flamingotiller-deadline-ms"
 REPLAYED_HEADER = b"flamingotiller-replayed"
 KEY_HEADER = b"flamingotiller-key"
+# Time after its deadline at which a request is given up whatever it waits for; a step that has a
+# limit of its own tells more.
+DEADLINE_MARGIN = clock.seconds(0.1)
 # A request with a longer body is streamed to the endpoint and therefore never retried.
 BUFFERED_BODY_BYTES = 64 * 1024
 _HEADER_PREFIX = b"flamingotiller-"
@@ -383,21 +386,13 @@
     async def _forward_response(
         self, connection: wire.Connection, head: h11.Response, reply: server.Reply
     ) -> claims.Outcome | None:
-        """Forwards a response, all of it before the deadline.
+        """Forwards a response; ends it at the deadline, whether the endpoint or the caller is slow.
 
         Raises:
-            errors.ExchangeTimeoutError: The endpoint did not send it, or the caller did not read it
-                in time. A limit of each wait would end nothing while data is always at hand.
+            errors.ExchangeTimeoutError: The deadline has passed.
         """
-        try:
-            async with asyncio.timeout(self._remaining().total_seconds()):
-                return await self._forward_whole_response(connection, head, reply)
-        except TimeoutError as error:
-            raise errors.ExchangeTimeoutError(
-                "the response was not transferred by the deadline",
-                step="forward",
-                peer=self.address,
-            ) from error
+        async with wire.time_limit(self._remaining(), step="forward", peer=self.address):
+            return await self._forward_whole_response(connection, head, reply)
 
     async def _forward_whole_response(
         self, connection: wire.Connection, head: h11.Response, reply: server.Reply
--- a/flamingotiller/fleet/forwarding.py
+++ b/flamingotiller/fleet/forwarding.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import dataclasses
 import datetime
 
@@ -369,7 +368,7 @@
         if may_stream and _declared_length(head) > limit:
             await self._stream(link, head, b"", reply)
             return None
-        async with self._time_limit(self._reading_time(), "read body"):
+        async with wire.time_limit(self._reading_time(), step="read body", peer=self._address):
             body, ended = await self._read_up_to(link, limit)
         if ended:
             return Response(head.status_code, list(head.headers), body)
@@ -386,7 +385,7 @@
             errors.TransportError: It is too long or does not end at once.
         """
         limit = min(REFUSAL_BODY_TIME, self._reading_time())
-        async with self._time_limit(limit, "read refusal"):
+        async with wire.time_limit(limit, step="read refusal", peer=self._address):
             _, ended = await self._read_up_to(link, MAX_BUFFERED_RESPONSE_BYTES)
         if not ended:
             raise self._protocol_error("body of a refusal is too long")
@@ -407,24 +406,6 @@
             has_room = self._job.request.try_reserve(len(data))
         return bytes(body), False
 
-    @contextlib.asynccontextmanager
-    async def _time_limit(
-        self, limit: datetime.timedelta, step: str
-    ) -> collections.abc.AsyncIterator[None]:
-        """Limits the time of a whole step; a limit of each wait would end nothing while data is
-        always at hand.
-
-        Raises:
-            errors.ExchangeTimeoutError: The step took too long.
-        """
-        try:
-            async with asyncio.timeout(limit.total_seconds()):
-                yield
-        except TimeoutError as error:
-            raise errors.ExchangeTimeoutError(
-                "it was not complete by the deadline", step=step, peer=self._address
-            ) from error
-
     def _caller_sees_truncation(self, head: h11.Response) -> bool:
         """Returns whether a streamed response that breaks off differs from a complete one."""
         return self._job.request.version != "1.0" or _declared_length(head) >= 0
@@ -462,7 +443,7 @@
         ]
         headers.append((self._dialect.request_id, self._job.request_id.encode("latin-1")))
         headers += self._job.relay_headers
-        async with self._time_limit(self._reading_time(), "stream"):
+        async with wire.time_limit(self._reading_time(), step="stream", peer=self._address):
             await reply.start(head.status_code, headers)
             await reply.write(begun)
             while (data := await self._next_data(link)) is not None:
--- a/flamingotiller/fleet/gateway.py
+++ b/flamingotiller/fleet/gateway.py
@@ -52,9 +52,6 @@
 MAX_VIEW_AGE_FOR_REJECTION = clock.seconds(1.5)
 ENDPOINT_CONNECT_TIMEOUT = clock.seconds(0.3)
 DEFAULT_CALLER_TIMEOUT = clock.seconds(30)
-# Time after a request's deadline, and the grace for its response, at which it is given up whatever
-# it waits for; a step that has a limit of its own tells more.
-DEADLINE_MARGIN = clock.seconds(0.1)
 MAX_DEADLINE_DIGITS = 9
 # Longer request bodies are streamed to the endpoint, and such requests are not retried.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -487,7 +484,7 @@
             errors.ExchangeTimeoutError: The response had been begun.
         """
         remaining = max(clock.ZERO, job.deadline - self.clock.monotonic())
-        limit = remaining + forwarding.RESPONSE_GRACE + DEADLINE_MARGIN
+        limit = remaining + forwarding.RESPONSE_GRACE + dispatch.DEADLINE_MARGIN
         try:
             async with asyncio.timeout(limit.total_seconds()):
                 return await self._respond(job, dispatch_state, reply, trace)
--- a/flamingotiller/request_path.py
+++ b/flamingotiller/request_path.py
@@ -30,9 +30,6 @@
 
 MAX_ATTEMPTS = 3
 MIN_DEADLINE_MS = 1
-# Time after its deadline at which a request is given up whatever it waits for; a step that has a
-# limit of its own tells more.
-DEADLINE_MARGIN = clock.seconds(0.1)
 
 
 class RequestPath:
@@ -282,7 +279,7 @@
         """
         remaining = max(clock.ZERO, prepared.deadline - self._process.clock.monotonic())
         try:
-            async with asyncio.timeout((remaining + DEADLINE_MARGIN).total_seconds()):
+            async with asyncio.timeout((remaining + dispatch.DEADLINE_MARGIN).total_seconds()):
                 await self._claim_and_run(prepared, state, reply)
         except TimeoutError as error:
             if reply.started:
--- a/flamingotiller/wire.py
+++ b/flamingotiller/wire.py
@@ -458,6 +458,26 @@
         waiter.set_exception(errors.ExchangeTimeoutError(message, step=step))
 
 
+@contextlib.asynccontextmanager
+async def time_limit(
+    limit: datetime.timedelta, *, step: str, peer: str
+) -> collections.abc.AsyncIterator[None]:
+    """Limits the time of a whole step of an exchange.
+
+    A limit of each wait would end nothing while data is always at hand.
+
+    Raises:
+        errors.ExchangeTimeoutError: The step took too long.
+    """
+    try:
+        async with asyncio.timeout(limit.total_seconds()):
+            yield
+    except TimeoutError as error:
+        raise errors.ExchangeTimeoutError(
+            "it was not complete by the deadline", step=step, peer=peer
+        ) from error
+
+
 def header(headers: collections.abc.Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
     """Returns the first value of a header, or None.
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -335,19 +335,19 @@
     assert state.FleetState.load(fleet.dump()).level == 0
 
 
-def take_back(zone="a"):
+def begin_and_end_evacuation(zone="a"):
     return [{"kind": "evacuate", "zone": zone, "active": active} for active in (True, False)]
 
 
 def test_each_end_of_an_evacuation_differs_for_those_who_read_the_table():
-    """Guards against a second take-back that tells nobody that endpoints are cold again."""
+    """Guards against a second evacuation whose end tells nobody that endpoints are cold."""
     service = model.to_document(model.Service("search", 100, 3.0, 20.0))
     fleet, _ = run(RAISE_LEVEL, configure(1, 0, items={"service/search": service}), report())
     seen = []
     for _ in range(3):
         revision = fleet.table.revision
         index = revision
-        for command in take_back():
+        for command in begin_and_end_evacuation():
             index += 1
             fleet.apply(command, index)
         items = fleet.table.since(revision).items
@@ -361,5 +361,5 @@
     service = model.to_document(model.Service("search", 100, 3.0, 20.0))
     items = {"service/search": service}
     level_1 = {**RAISE_LEVEL, "level": 1}
-    fleet, _ = run(level_1, configure(1, 0, items=items), report(), *take_back())
+    fleet, _ = run(level_1, configure(1, 0, items=items), report(), *begin_and_end_evacuation())
     assert fleet.table.item_by_subject["endpoint/e1"]["cold_s"] == 3.0
--- a/tests/test_fleet_steward.py
+++ b/tests/test_fleet_steward.py
@@ -797,3 +797,33 @@
             assert not again
 
     asyncio.run(scenario())
+
+
+def test_calls_of_the_leader_share_the_time_of_an_order(tmp_path, monkeypatch):
+    """Guards against calls that each wait for as long as the whole order may take."""
+
+    async def scenario():
+        async with StewardCluster(tmp_path) as cluster:
+            leader = await cluster.wait_for_voters(3)
+            follower = next(n for n in cluster.by_host.values() if n is not leader)
+            await polling.wait_until(lambda: follower._leader_address() == leader.config.address)
+            timeouts = []
+            call = follower._client.call
+
+            async def record(peer, method, target, body=None, **options):
+                if target == "/v1/execute":
+                    timeouts.append((body["operation"], options["timeout"]))
+                return await call(peer, method, target, body, **options)
+
+            monkeypatch.setattr(follower._client, "call", record)
+            await follower.evacuate("a", True, follower.clock.monotonic())
+            (first, first_timeout), (second, second_timeout) = timeouts
+            assert (first, second) == ("clock", "order")
+            least_used = steward.CALLER_CHECK_TIME
+            assert second_timeout < first_timeout <= steward.FORWARD_TIMEOUT - least_used
+            timeouts.clear()
+            with pytest.raises(errors.UnavailableError):
+                await follower.evacuate("a", False, long_ago(follower))
+            assert not timeouts
+
+    asyncio.run(scenario())
--- a/tests/test_whole_deadlines.py
+++ b/tests/test_whole_deadlines.py
@@ -6,11 +6,9 @@
 
 import fleet_fakes
 import polling
-import pytest
 import test_request_path
 
-from flamingotiller import client, clock, errors, server
-from flamingotiller.fleet import steward
+from flamingotiller import client, clock, server
 
 GatewayHarness, make_request = fleet_fakes.GatewayHarness, fleet_fakes.make_request
 make_route = fleet_fakes.make_route
@@ -119,21 +117,3 @@
         await http_server.close()
 
     run(work())
-
-
-def test_order_gives_the_leader_only_the_time_that_is_left():
-    """Guards against calls of the leader that each wait for as long as the order may take."""
-
-    async def work():
-        clk = clock.ManualClock()
-        node = object.__new__(steward.Steward)
-        node.clock = clk
-        began_at = clk.monotonic()
-        assert node._time_to_forward(began_at) == steward.FORWARD_TIMEOUT
-        clk.advance(steward.FORWARD_TIMEOUT / 2)
-        assert node._time_to_forward(began_at) == steward.FORWARD_TIMEOUT / 2
-        clk.advance(steward.FORWARD_TIMEOUT / 2)
-        with pytest.raises(errors.UnavailableError):
-            node._time_to_forward(began_at)
-
-    run(work())
