--- a/review/stand_ins_3/machines.py
+++ b/review/stand_ins_3/machines.py
@@ -1,6 +1,7 @@
 """Starts gateways and stewards as separate processes, each with a loopback address of its own."""
 
 import contextlib
+import json
 import os
 import pathlib
 import random
@@ -172,3 +173,15 @@
     def line(self, text, at=None):
         self._file.write(f"{self.now() if at is None else at:9.3f} {text}\n")
         self._file.flush()
+
+
+def leader(fleet):
+    """Returns the steward whose log names it as the latest leader."""
+    latest = (-1, None)
+    for steward in fleet.stewards:
+        for line in steward.log_text().splitlines():
+            with contextlib.suppress(ValueError):
+                entry = json.loads(line)
+                if entry.get("text") == "this instance leads the log":
+                    latest = max(latest, (entry["term"], steward), key=lambda pair: pair[0])
+    return latest[1]
