--- a/review/stand_ins_3/machines.py
+++ b/review/stand_ins_3/machines.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -155,8 +156,9 @@
     def __exit__(self, *_):
         for machine in self.machines:
             machine.kill()
-        if keep := os.environ.get("KEEP"):
-            os.system(f"rm -rf {keep}; cp -r {self.folder} {keep}")  # noqa: S605 - for debugging
+        if folder := os.environ.get("KEEP_LOGS"):
+            for log in self.folder.glob("*.log"):
+                shutil.copy(log, folder)
         self._folder.cleanup()
 
 
--- a/review/stand_ins_3/parties.py
+++ b/review/stand_ins_3/parties.py
@@ -42,7 +42,6 @@
         self.runs = []
         self.extra_headers = lambda: []
         self.refuse = lambda run: None  # returns (status, headers) for a refusal
-        self.beats_from = 0.0
         self._writers = set()
         self._server = None
         self._beat_task = None
