--- a/review/stand_ins_3/machines.py
+++ b/review/stand_ins_3/machines.py
@@ -14,8 +14,10 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PEER_PORT, CONTROL_PORT, READY_PORT, LOOKUP_PORT, CALLER_PORT = 7600, 8200, 8201, 8202, 8206
-METRICS_PORT_BY_ROLE = {"gateway": "9464", "steward": "9465"}
+PURPOSES = ("peer", "control", "ready", "lookup", "caller", "backend")
+# Part of the deploy file's commands.
+METRICS_PORT_BY_ROLE = {"gateway": 9464, "steward": 9465}
+MAX_NETWORKS = 50
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 BOUNDS = {
     "seedLag": "3s", "addrReuse": "2s", "contact": "3000ms", "ackTimeout": "4000ms",
@@ -29,16 +31,22 @@
 
 
 def free_network():
-    """Returns the first three numbers of loopback addresses on which nothing listens."""
-    while True:
+    """Returns the first three numbers of loopback addresses, and a free port for each purpose."""
+    for _ in range(MAX_NETWORKS):
         prefix = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
-        try:
-            for port in (PEER_PORT, CONTROL_PORT, READY_PORT, LOOKUP_PORT, CALLER_PORT, 9464, 9465):
-                with socket.socket() as probe:
-                    probe.bind((f"{prefix}.1", port))
-        except OSError:
-            continue
-        return prefix
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in METRICS_PORT_BY_ROLE.values():
+                    stack.enter_context(socket.socket()).bind((f"{prefix}.1", port))
+                ports = []
+                for _ in PURPOSES:
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind((f"{prefix}.1", 0))
+                    ports.append(probe.getsockname()[1])
+            except OSError:
+                continue
+            return prefix, dict(zip(PURPOSES, ports, strict=True))
+    raise OSError("no loopback addresses with free ports")
 
 
 class Machine:
@@ -51,19 +59,19 @@
 
     @property
     def control(self):
-        return f"{self.host}:{CONTROL_PORT}"
+        return f"{self.host}:{self.fleet.ports['control']}"
 
     @property
     def lookup(self):
-        return f"{self.host}:{LOOKUP_PORT}"
+        return f"{self.host}:{self.fleet.ports['lookup']}"
 
     @property
     def caller(self):
-        return f"{self.host}:{CALLER_PORT}"
+        return f"{self.host}:{self.fleet.ports['caller']}"
 
     @property
     def ready(self):
-        return f"{self.host}:{READY_PORT}"
+        return f"{self.host}:{self.fleet.ports['ready']}"
 
     @property
     def settings_path(self):
@@ -79,7 +87,7 @@
             f"serves={serves}", f"ip={self.host}", f"zone={self.zone}",
             f"region={ZONES[self.zone]}",
             *(f"zones.{zone}={region}" for zone, region in ZONES.items()),
-            f"internalPortRange={PEER_PORT},{PEER_PORT + 15}", f"seedNodes={seeds}",
+            f"internalPortRange={fleet.ports['peer']},{fleet.ports['peer']}", f"seedNodes={seeds}",
             f"bootstrap={'true' if first else 'false'}",
             f"countsAsLoss={'false' if self.role == 'gateway' else 'true'}",
             "heartbeat=1500ms", "discovery=registry", "entryPoint=directory",
@@ -104,7 +112,7 @@
         # The deploy file's command, with the interpreter that runs this script.
         command = [
             sys.executable, "-m", "flamingotiller.platform", self.role,
-            METRICS_PORT_BY_ROLE[self.role],
+            str(METRICS_PORT_BY_ROLE[self.role]),
         ]  # fmt: skip
         with open(self.fleet.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
@@ -133,7 +141,7 @@
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._folder.name)
         self.bounds = {**BOUNDS, **bounds}
-        self.network = free_network()
+        self.network, self.ports = free_network()
         zones = list(ZONES)
         gateway_zones = gateway_zones or [zones[n % 3] for n in range(gateways)]
         self.stewards = [
@@ -150,8 +158,8 @@
         for machine in self.machines:
             machine.start(first=True)
 
-    def backend_host(self, number):
-        return f"{self.network}.{number + 101}"
+    def backend_address(self, number):
+        return f"{self.network}.{number + 101}:{self.ports['backend']}"
 
     def __exit__(self, *_):
         for machine in self.machines:
