--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,7 +10,7 @@
 DOWN_S = 0.3
 REFUSES_S = 0.4  # after its start, or from the same time on without the disruption
 FIRST_REPORT_S = 0.6  # reports come every 1.5 s
-PER_S = 60.0
+PER_S = 120.0
 MOST = 2
 
 
@@ -35,8 +35,8 @@
         fleet.start()
         stewards = [s.control for s in fleet.stewards]
         backends = []
-        for n in range(4):
-            address = f"{fleet.backend_host(n)}:8080"
+        for n in range(8):
+            address = fleet.backend_address(n)
             zone = ["a1", "a2"][n % 2]
             backends.append(parties.Backend(record, stewards, f"i-{n}", "desk", address, zone))
         for backend in backends:
